--- a/pkg/entry/rollouts.go
+++ b/pkg/entry/rollouts.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		engine := rollout.Engine{
-			Boot: t.Boot(), Version: r.e.balancer.Version(t, model), Orders: t.Orders,
+			Boot: t.Boot(), Version: r.e.balancer.Version(t, model),
 			Running: r.e.balancer.Running(t.Boot()), Unstarted: r.e.balancer.Unstarted(t.Boot()),
 		}
 		unfinished = unfinished || engine.Version < version
@@ -150,10 +150,14 @@
 		r.note(step.Boot, func(n *notice) { n.model, n.freeUntil = model, now+freeNotice })
 		return
 	}
+	copied := *target
+	if step.Kind == rollout.Count {
+		go r.recount(ctx, planner, model, &copied)
+		return
+	}
 	until := now + 2*planner.ExpectedLoad()
 	r.e.balancer.Loading(step.Boot, until)
 	r.note(step.Boot, func(n *notice) { n.model, n.loadingUntil = model, until })
-	copied := *target
 	go r.order(ctx, planner, fence, model, step, &copied)
 }
 
@@ -176,9 +180,6 @@
 	if reply == rollout.Fenced {
 		r.e.lease.fenced(fence)
 	}
-	if reply == rollout.Conflict {
-		r.recount(ctx, planner, model, target)
-	}
 	r.mu.Lock()
 	done := planner.Replied(now, step, reply)
 	r.mu.Unlock()
@@ -199,9 +200,6 @@
 		r.e.log.Log(eventlog.DutyFailed, "duty", "report", "err", err)
 		return
 	}
-	if report.Changing {
-		return
-	}
 	r.mu.Lock()
 	planner.Counted(target.Boot(), report.Orders)
 	r.mu.Unlock()
--- a/pkg/fleet/target.go
+++ b/pkg/fleet/target.go
@@ -13,8 +13,6 @@
 	Draining   bool
 	// Models maps the models that the target serves to their weights versions.
 	Models map[string]int64
-	// Orders is the number of orders that the target has accepted.
-	Orders int64
 	// BornUnixMS is the time of its start; a target may start again under its ID.
 	BornUnixMS int64
 	// Cold is how much longer the target is slow after its start.
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -17,19 +17,29 @@
 	loadingDivisor = 6
 	// freeLimit is the longest time that an engine waits for its requests to
 	// end before it is ordered.
-	freeLimit = 400 * time.Millisecond
+	freeLimit = 300 * time.Millisecond
 	// freeSettle is how long the other processes need to learn that an engine
 	// is kept free.
 	freeSettle = 40 * time.Millisecond
 	// initialLoad is the expected time of a change until one has been seen.
 	initialLoad = 250 * time.Millisecond
 	// checkPause is the time between checks of a change that takes longer.
-	checkPause = 40 * time.Millisecond
+	checkPause = 50 * time.Millisecond
 	// lostPause is when to order again after an order without an answer.
 	lostPause = 50 * time.Millisecond
 	// conflictPause is when to order again after a conflict.
 	conflictPause = 150 * time.Millisecond
-	loadWeight    = 0.2
+	// maxConflicts in a row make the planner read the count of orders again.
+	maxConflicts = 3
+	// loadWeight is the weight of a new sample in the mean time of a change.
+	loadWeight = 0.2
+	// shorten is the part by which the expected time shrinks when it was enough.
+	shorten = 0.03
+	// maxLoad is the longest time of a change that counts as a sample.
+	maxLoad = 2 * time.Second
+	// awayWaves is how many times the engines that load at once may be away for
+	// their change, those that still run requests included.
+	awayWaves = 2
 )
 
 // Engine is one engine as its orders see it.
@@ -37,8 +47,6 @@
 	Boot fleet.Boot
 	// Version is the weights version that it is believed to have.
 	Version int64
-	// Orders is the number of orders that it says it has accepted.
-	Orders int64
 	// Running and Unstarted count the requests there, over all processes.
 	Running   int
 	Unstarted int
@@ -51,6 +59,8 @@
 const (
 	// Free keeps new requests from an engine.
 	Free Kind = iota
+	// Count reads how many orders the engine has accepted.
+	Count
 	// Order sends the order; sent again it tells whether the change is over.
 	Order
 )
@@ -88,8 +98,11 @@
 const (
 	idle phase = iota
 	free
+	// sending: the first order is on its way.
 	sending
 	loading
+	// checking: the order is on its way again.
+	checking
 )
 
 // progress is one engine's change.
@@ -98,8 +111,13 @@
 	version int64
 	since   time.Duration
 	nextAt  time.Duration
+	// orders is the number of accepted orders, once it is known.
 	orders  int64
 	known   bool
+	countAt time.Duration
+	// conflicts counts those in a row, checks those of the change under way.
+	conflicts int
+	checks    int
 }
 
 // Planner plans the changes of one model's engines. It is not safe for
@@ -122,8 +140,24 @@
 func (p *Planner) Plan(now time.Duration, version int64, engines []Engine) []Step {
 	p.forget(engines)
 	atOnce := (len(engines) + loadingDivisor - 1) / loadingDivisor
-	var behind []*Engine
-	busy, waiting := 0, 0
+	behind, away, busy := p.sort(now, version, engines)
+	slices.SortStableFunc(behind, func(a, b *Engine) int { return cmp.Compare(a.Running, b.Running) })
+	var steps []Step
+	for _, e := range behind {
+		if away >= awayWaves*atOnce {
+			break
+		}
+		away++
+		state := p.state(e)
+		state.phase, state.since = free, now
+		steps = append(steps, Step{Kind: Free, Boot: e.Boot, Version: version})
+	}
+	return append(steps, p.orders(now, version, engines, busy, atOnce)...)
+}
+
+// sort returns the engines whose change has not begun, the number of those that
+// are away for theirs, and of those the number that load now.
+func (p *Planner) sort(now time.Duration, version int64, engines []Engine) (behind []*Engine, away, busy int) {
 	for i := range engines {
 		e := &engines[i]
 		state := p.state(e)
@@ -131,27 +165,19 @@
 			state.phase = idle
 			continue
 		}
-		switch state.phase {
-		case idle:
+		switch {
+		case state.phase == idle:
 			behind = append(behind, e)
-		case free:
-			waiting++
-		default:
+			continue
+		case state.phase == loading && e.Running > 0:
+			// The load begins once the requests there have ended.
+			state.since, state.nextAt = now, now+p.load
+		case state.phase >= sending:
 			busy++
 		}
+		away++
 	}
-	slices.SortStableFunc(behind, func(a, b *Engine) int { return cmp.Compare(a.Running, b.Running) })
-	var steps []Step
-	for _, e := range behind {
-		if waiting >= atOnce {
-			break
-		}
-		waiting++
-		state := p.state(e)
-		state.phase, state.since = free, now
-		steps = append(steps, Step{Kind: Free, Boot: e.Boot, Version: version})
-	}
-	return append(steps, p.orders(now, version, engines, busy, atOnce)...)
+	return behind, away, busy
 }
 
 // orders returns the orders that are due: first ones for engines that are free,
@@ -161,28 +187,35 @@
 	for i := range engines {
 		e := &engines[i]
 		state := p.state(e)
+		if !state.known {
+			if state.phase != idle && now >= state.countAt {
+				state.countAt = now + conflictPause
+				steps = append(steps, Step{Kind: Count, Boot: e.Boot})
+			}
+			continue
+		}
 		switch {
-		case state.phase == free && busy < atOnce && now >= state.nextAt && emptied(now, e, state):
+		case state.phase == free && busy < atOnce && now >= state.nextAt && settled(now, e, state):
 			busy++
-			state.version = version
-			steps = append(steps, p.order(now, e, state))
+			state.version, state.since = version, now
+			state.phase = sending
+			steps = append(steps, p.order(e, state))
 		case state.phase == loading && now >= state.nextAt:
-			steps = append(steps, p.order(now, e, state))
+			state.phase = checking
+			steps = append(steps, p.order(e, state))
 		}
 	}
 	return steps
 }
 
-func emptied(now time.Duration, e *Engine, state *progress) bool {
+// settled says whether no request waits at an engine that is kept free; those
+// that run may end during the order.
+func settled(now time.Duration, e *Engine, state *progress) bool {
 	age := now - state.since
-	return age >= freeLimit || (age >= freeSettle && e.Running == 0)
+	return age >= freeLimit || (age >= freeSettle && e.Unstarted == 0)
 }
 
-func (p *Planner) order(now time.Duration, e *Engine, state *progress) Step {
-	if state.phase != loading {
-		state.since = now
-	}
-	state.phase = sending
+func (p *Planner) order(e *Engine, state *progress) Step {
 	return Step{Kind: Order, Boot: e.Boot, Version: state.version, Expected: state.orders}
 }
 
@@ -190,21 +223,19 @@
 // has the version.
 func (p *Planner) Replied(now time.Duration, step Step, reply Reply) (done bool) {
 	state, ok := p.engines[step.Boot]
-	if !ok || state.phase != sending {
+	if !ok || (state.phase != sending && state.phase != checking) {
 		return false
 	}
+	first := state.phase == sending
 	switch reply {
 	case Accepted:
-		state.phase, state.since, state.nextAt = loading, now, now+p.load
-		state.orders++
+		p.accepted(now, state, first)
 	case Holds:
-		if state.since != 0 && now-state.since < 2*time.Second {
-			p.load += time.Duration(loadWeight * float64(now-state.since-p.load))
-		}
+		p.measured(now, state, first)
 		state.phase, state.nextAt = idle, now
 		return true
 	case Conflict:
-		state.phase, state.nextAt = loading, now+checkPause
+		p.conflicted(now, state, first)
 	case Lost:
 		state.phase, state.nextAt = free, now+lostPause
 	default:
@@ -213,6 +244,47 @@
 	return false
 }
 
+// accepted notes that a change is under way. An engine counts an order that is
+// sent again during its change only once.
+func (p *Planner) accepted(now time.Duration, state *progress, first bool) {
+	state.phase, state.conflicts = loading, 0
+	if !first {
+		state.checks++
+		state.nextAt = now + checkPause
+		return
+	}
+	state.orders++
+	state.checks = 0
+	state.since, state.nextAt = now, now+p.load
+}
+
+// measured adapts the expected time of a change: down a little when the first
+// check found it over, and otherwise towards the time that it took.
+func (p *Planner) measured(now time.Duration, state *progress, first bool) {
+	took := now - state.since
+	switch {
+	case first || took > maxLoad:
+	case state.checks == 0:
+		p.load -= time.Duration(shorten * float64(p.load))
+	default:
+		p.load += time.Duration(loadWeight * float64(took-p.load))
+	}
+}
+
+// conflicted notes an answer that fits no order of this planner; after a few
+// the count of orders is read again.
+func (p *Planner) conflicted(now time.Duration, state *progress, first bool) {
+	state.conflicts++
+	state.phase, state.nextAt = loading, now+checkPause
+	if first {
+		state.phase, state.nextAt = free, now+checkPause
+	}
+	if state.conflicts >= maxConflicts {
+		state.known, state.countAt, state.conflicts = false, now, 0
+		state.phase = free
+	}
+}
+
 // Counted takes an engine's own count of accepted orders, as read from it.
 func (p *Planner) Counted(boot fleet.Boot, orders int64) {
 	if state, ok := p.engines[boot]; ok {
@@ -226,9 +298,6 @@
 		state = &progress{}
 		p.engines[e.Boot] = state
 	}
-	if !state.known || e.Orders > state.orders {
-		state.orders, state.known = e.Orders, true
-	}
 	return state
 }
 
