Read the cache store's whole content at start and after a gap; oldest weights first

Cause of parts read again after a restart of all processes: only the newest events are kept, so the store's content was unknown.

--- a/pkg/entry/cachestore.go
+++ b/pkg/entry/cachestore.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 )
@@ -21,40 +23,53 @@
 	maxCacheFollowers = 8
 )
 
-// followCacheStore keeps the balancer's view of the cache store up to date.
+// followCacheStore keeps the balancer's view of the cache store up to date: it
+// reads the whole content, then follows the changes, and reads all again after
+// a restart of the store or a gap.
 func (e *Entry) followCacheStore(ctx context.Context) {
 	c := &contact{e: e, feed: "cache"}
-	var boot, next int64
 	for ctx.Err() == nil {
 		address := e.cacheStore()
 		if address == "" {
 			clock.Sleep(ctx, cacheEventsPause)
 			continue
 		}
-		events, err := e.platform.Engines.CacheEvents(ctx, address, next, cacheEventsWait)
+		err := e.readCacheStore(ctx, address, c)
 		if ctx.Err() != nil {
 			return
 		}
 		c.note(err)
 		if err != nil {
 			e.balancer.StoreUnfollowed()
-			boot, next = 0, 0
 			clock.Sleep(ctx, cacheEventsPause)
-			continue
 		}
-		if events.Boot != boot || events.Gap {
-			e.balancer.StoreEmptied()
-			e.log.Log(eventlog.CacheStoreRead, "boot", events.Boot, "was", boot, "gap", events.Gap, "next", events.Next)
+	}
+}
+
+// readCacheStore reads the content and follows it until a gap or an error.
+func (e *Entry) readCacheStore(ctx context.Context, address string, c *contact) error {
+	content, err := e.platform.Engines.CacheContent(ctx, address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	e.balancer.StoreEmptied()
+	e.balancer.StoreChanged(content.Changes)
+	e.log.Log(eventlog.CacheStoreRead, "boot", content.Boot, "parts", len(content.Changes), "next", content.Next)
+	next := content.Next
+	for e.cacheStore() == address {
+		events, err := e.platform.Engines.CacheEvents(ctx, address, next, cacheEventsWait)
+		if err != nil {
+			return errors.Trace(err)
 		}
-		if events.Boot != boot && next != 0 {
-			// What the store has told since its start is read from its beginning.
-			boot, next = events.Boot, 0
-			continue
+		c.note(nil)
+		if events.Boot != content.Boot || events.Gap {
+			return nil
 		}
-		boot, next = events.Boot, events.Next
+		next = events.Next
 		e.balancer.StoreChanged(events.Changes)
 		clock.Sleep(ctx, cacheEventsSpacing)
 	}
+	return nil
 }
 
 // cacheStore returns the store to follow; "" when there is none or when enough
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -49,9 +49,11 @@
 	Report(ctx context.Context, target *fleet.Target) (rollout.Report, error)
 	// CacheEvents waits for changes of what a cache store holds.
 	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
+	// CacheContent reads all that a cache store holds.
+	CacheContent(ctx context.Context, address string) (CacheEvents, error)
 }
 
-// CacheEvents are changes of what a cache store holds.
+// CacheEvents are changes of what a cache store holds, or its whole content.
 type CacheEvents struct {
 	// Boot names the store's start; Next is where to go on.
 	Boot int64
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -39,8 +39,8 @@
 	PeerMessageInvalid = Event{926, "peer_message_invalid", "A message from a peer could not be decoded.", []string{"from", "err"}}
 	DutyFailed         = Event{927, "duty_failed", "A background duty failed and is tried again.", []string{"duty", "err"}}
 	LinesDropped       = Event{928, "log_lines_dropped", "Log lines were left out because the output was too slow.", []string{"lines"}}
-	CacheStoreRead     = Event{930, "cache_store_read", "The cache store has restarted, or changes of its content were missed; its content is learned anew.",
-		[]string{"boot", "was", "gap", "next"}}
+	CacheStoreRead     = Event{930, "cache_store_read", "The cache store's whole content was read: at start, after its restart, or when changes were missed.",
+		[]string{"boot", "parts", "next"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again.", []string{"err"}}
 )
 
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -141,7 +141,9 @@
 	p.forget(engines)
 	atOnce := (len(engines) + loadingDivisor - 1) / loadingDivisor
 	behind, away, busy := p.sort(now, version, engines)
-	slices.SortStableFunc(behind, func(a, b *Engine) int { return cmp.Compare(a.Running, b.Running) })
+	slices.SortStableFunc(behind, func(a, b *Engine) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Running, b.Running))
+	})
 	var steps []Step
 	for _, e := range behind {
 		if away >= awayWaves*atOnce {
