--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -53,6 +53,8 @@
 	Salt    string
 	// Expected is the expected time to the first byte.
 	Expected time.Duration
+	// Work is the prompt tokens to read there, with imports at their lower cost.
+	Work float64
 	// CachedTokens is what the target is believed to hold of the prompt.
 	CachedTokens int64
 	// Save says that the shared part is not known to be in the cache store.
@@ -169,6 +171,9 @@
 	bestScore := time.Duration(-1)
 	for i := range candidates {
 		choice, score := b.score(now, req, candidates, i, home)
+		if req.Tolerance > 0 && choice.Expected > req.Tolerance {
+			score += tooLatePenalty
+		}
 		if bestScore < 0 || score < bestScore {
 			best, bestScore = choice, score
 		}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/fleet"
@@ -8,19 +9,21 @@
 
 // Share is one process's work at one target.
 type Share struct {
-	Running         int   `json:"r,omitempty"`
-	Unstarted       int   `json:"u,omitempty"`
-	UnstartedTokens int64 `json:"t,omitempty"`
+	Running   int `json:"r,omitempty"`
+	Unstarted int `json:"u,omitempty"`
+	// Backlog is the prompt tokens there that are not read yet.
+	Backlog float64 `json:"t,omitempty"`
 }
 
 // Own returns this process's work by target identifier, idle targets left out.
-func (b *Balancer) Own() map[string]Share {
+func (b *Balancer) Own(now time.Duration) map[string]Share {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	shares := map[string]Share{}
 	for boot, s := range b.states {
 		if s.running > 0 {
-			shares[boot.ID] = Share{Running: s.running, Unstarted: s.unstarted, UnstartedTokens: s.unstartedTokens}
+			backlog := math.Round(s.backlog(now, b.service(s.service).prefillRate))
+			shares[boot.ID] = Share{Running: s.running, Unstarted: s.unstarted, Backlog: backlog}
 		}
 	}
 	return shares
@@ -43,7 +46,7 @@
 		share := shares[targetID]
 		sum.Running += share.Running
 		sum.Unstarted += share.Unstarted
-		sum.UnstartedTokens += share.UnstartedTokens
+		sum.Backlog += share.Backlog
 	}
 	return sum
 }
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -5,6 +5,11 @@
 )
 
 const (
+	// firstByteBase is the time to the first byte that doesn't depend on the
+	// prompt.
+	firstByteBase = 8 * time.Millisecond
+	// tooLatePenalty puts targets that would answer too late behind all others.
+	tooLatePenalty = time.Hour
 	// otherCentrePenalty is what bytes between data centres count for.
 	otherCentrePenalty = 8 * time.Millisecond
 	// failurePenalty is the penalty of a target that fails all requests.
@@ -41,8 +46,9 @@
 		work, again = b.promptWork(now, req, candidates, at, home, &choice)
 	}
 	peers := b.peerShare(c.target.ID)
-	queued := float64(c.state.unstartedTokens+peers.UnstartedTokens) + work
-	expected := readTime(queued, stats)
+	choice.Work = work
+	queued := c.state.backlog(now, stats.prefillRate) + peers.Backlog + work
+	expected := firstByteBase + readTime(queued, stats)
 	expected += b.slotWait(c, peers, stats, req.Model != "")
 	expected += c.target.Cold / coldShare
 	choice.Expected = expected
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -19,7 +19,7 @@
 	// tokens a millisecond.
 	initialPrefillRate = 80.0
 	// prefillSampleTokens is the least prompt that tells the prefill rate.
-	prefillSampleTokens = 1500
+	prefillSampleTokens = 3000
 	// initialServiceTime is used until a service's own time is known.
 	initialServiceTime = 50 * time.Millisecond
 	// rateWeight is the weight of a new sample in a running mean. A prefill
@@ -32,11 +32,15 @@
 
 // state is what is known of one boot of a target.
 type state struct {
+	service string
 	// running counts this process's requests at the target, unstarted those
-	// without a first byte, and unstartedTokens their prompt tokens to read.
-	running         int
-	unstarted       int
-	unstartedTokens int64
+	// without a first byte, and unstartedWork their prompt tokens to read.
+	running       int
+	unstarted     int
+	unstartedWork float64
+	// queued is the part of unstartedWork that was left at queuedAt.
+	queued   float64
+	queuedAt time.Duration
 	// quietSince is when the target last gave a sign while it had work.
 	quietSince time.Duration
 
@@ -93,6 +97,18 @@
 	return max(listed, s.versions[model])
 }
 
+// backlog is the work in front of the target that this process sent and that is
+// not read yet, when the target reads at a rate in tokens a millisecond.
+func (s *state) backlog(now time.Duration, rate float64) float64 {
+	read := rate * float64(now-s.queuedAt) / float64(time.Millisecond)
+	s.queued = max(0, s.queued-read)
+	s.queuedAt = now
+	if s.unstarted == 0 {
+		s.queued = 0
+	}
+	return s.queued
+}
+
 func (s *state) healthy(now time.Duration) bool {
 	if now < s.suspectUntil {
 		return false
@@ -122,7 +138,7 @@
 	started bool
 	ended   bool
 	at      time.Duration
-	missing int64
+	work    float64
 	alone   bool
 }
 
@@ -131,15 +147,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(choice.Target.Boot())
-	missing := max(0, req.PromptTokens-choice.CachedTokens)
+	s.backlog(now, b.service(req.Service).prefillRate)
 	if s.unstarted == 0 {
 		s.quietSince = now
 	}
-	f := &Flight{b: b, state: s, service: req.Service, at: now, missing: missing}
+	f := &Flight{b: b, state: s, service: req.Service, at: now, work: choice.Work}
 	f.alone = s.unstarted == 0 && b.peerShare(choice.Target.ID).Unstarted == 0
+	s.service = req.Service
 	s.running++
 	s.unstarted++
-	s.unstartedTokens += missing
+	s.unstartedWork += choice.Work
+	s.queued += choice.Work
 	if len(req.Shared) > 0 {
 		b.hold(now, choice.Salt, req.sharedID(), choice.Target.Boot(), choice.Save)
 	}
@@ -173,10 +191,11 @@
 func (f *Flight) FirstByte(now time.Duration) {
 	f.b.mu.Lock()
 	defer f.b.mu.Unlock()
+	first := !f.started
 	f.start(now)
-	if f.alone && f.missing >= prefillSampleTokens {
-		took := float64(now-f.at) / float64(time.Millisecond)
-		f.b.service(f.service).samplePrefill(float64(f.missing) / max(1, took))
+	if first && f.alone && f.work >= prefillSampleTokens {
+		took := float64(now-f.at-firstByteBase) / float64(time.Millisecond)
+		f.b.service(f.service).samplePrefill(f.work / max(1, took))
 	}
 }
 
@@ -187,7 +206,8 @@
 	f.started = true
 	f.state.quietSince = now
 	f.state.unstarted--
-	f.state.unstartedTokens -= f.missing
+	f.state.unstartedWork -= f.work
+	f.state.queued = min(f.state.queued, f.state.unstartedWork)
 }
 
 // Result is how a request at a target ended.
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -13,7 +13,7 @@
 		From:   e.settings.VM,
 		Boot:   e.boot,
 		Tokens: e.limiter.Report(e.now(), e.boot),
-		Work:   e.balancer.Own(),
+		Work:   e.balancer.Own(e.now()),
 	}
 	if config := e.config.Load(); config != nil {
 		m.Config = config.Version
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -41,6 +41,11 @@
 		q.relay.Balancer.Mismatched(q.relay.Now(), a.choice.Target.Boot(), q.meta.Model, a.choice.Version, a.answer.WeightsVersion)
 		return stale
 	}
+	if misdirected {
+		// Another target has the address; the chosen one was not asked.
+		a.err = errors.New("another target has the address")
+		return unreached
+	}
 	return notRun
 }
 
