--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -102,14 +102,13 @@
 	services   map[string]*serviceStats
 	chains     *lru.Cache[uint64, *chain]
 	peers      map[string]map[string]Share
-	rollout    map[string]Named
-	store      storeView
-}
-
-// Named is the newest weights version named for a model.
-type Named struct {
-	Version int64
-	At      time.Duration
+	rollout    map[string]*fleet.VersionHistory
+	// versionDeadline is when older weights may begin no request any more.
+	versionDeadline time.Duration
+	store           storeView
+	// emptied is called, without blocking, when this process's requests at a
+	// target that is about to change its weights have begun or ended.
+	emptied func()
 }
 
 // chain is what is known of one shared part under one salt.
@@ -123,30 +122,47 @@
 	at   time.Duration
 }
 
-// New returns a Balancer of a process in a data centre.
-func New(dataCentre string, random *rand.Rand) *Balancer {
+// New returns a Balancer of a process in a data centre. versionDeadline is how
+// long after newer weights were named a request may begin on older ones.
+func New(dataCentre string, versionDeadline time.Duration, random *rand.Rand) *Balancer {
 	chains, err := lru.New[uint64, *chain](maxChains)
 	if err != nil {
 		panic(err)
 	}
 	return &Balancer{
-		dataCentre: dataCentre,
-		random:     random,
-		states:     map[fleet.Boot]*state{},
-		services:   map[string]*serviceStats{},
-		chains:     chains,
-		peers:      map[string]map[string]Share{},
-		rollout:    map[string]Named{},
+		dataCentre:      dataCentre,
+		random:          random,
+		states:          map[fleet.Boot]*state{},
+		services:        map[string]*serviceStats{},
+		chains:          chains,
+		peers:           map[string]map[string]Share{},
+		rollout:         map[string]*fleet.VersionHistory{},
+		versionDeadline: versionDeadline,
 	}
 }
 
+// OnEmptied sets what to call when a target that is about to change its weights
+// waits for no request of this process any more. It must not block.
+func (b *Balancer) OnEmptied(fn func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.emptied = fn
+}
+
 // NameVersion notes the newest weights version of a model.
 func (b *Balancer) NameVersion(now time.Duration, model string, version int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version > b.rollout[model].Version {
-		b.rollout[model] = Named{Version: version, At: now}
+	b.history(model).Name(now, version)
+}
+
+func (b *Balancer) history(model string) *fleet.VersionHistory {
+	h, ok := b.rollout[model]
+	if !ok {
+		h = &fleet.VersionHistory{}
+		b.rollout[model] = h
 	}
+	return h
 }
 
 // Pick chooses a target among candidates.
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -10,6 +10,12 @@
 	// preferNewAfter is how long after a version was named older weights still
 	// count as equal.
 	preferNewAfter = 1200 * time.Millisecond
+	// requireNewShare is the part of the versions' deadline, one in so many,
+	// after which older weights are a last resort.
+	requireNewShare = 2
+	// beginMargin is how long before the deadline no more requests are sent to
+	// older weights, since they may wait at the engine.
+	beginMargin = 800 * time.Millisecond
 	// loadingRetry is when to come back while all targets load weights.
 	loadingRetry = 300 * time.Millisecond
 	// noTargetRetry is when to come back while no target is known.
@@ -39,9 +45,15 @@
 	}
 	able = prefer(able, func(c *candidate) bool { return c.state.healthy(now) })
 	able = prefer(able, func(c *candidate) bool { return now >= c.state.nextUntil })
-	named := b.rollout[req.Model]
-	if named.Version > 0 && now-named.At > preferNewAfter {
-		able = prefer(able, func(c *candidate) bool { return c.version >= named.Version })
+	history := b.history(req.Model)
+	able = prefer(able, func(c *candidate) bool {
+		return history.Behind(now, c.version) < b.versionDeadline/requireNewShare
+	})
+	able = keep(able, func(c *candidate) bool {
+		return history.Behind(now, c.version) < b.versionDeadline-beginMargin
+	})
+	if len(able) == 0 {
+		return nil, &Refusal{Reason: ReasonLoading, RetryAfter: loadingRetry}
 	}
 	return able, nil
 }
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -12,6 +12,8 @@
 	tooLatePenalty = time.Hour
 	// otherCentrePenalty is what bytes between data centres count for.
 	otherCentrePenalty = 8 * time.Millisecond
+	// oldWeightsPenalty is what older weights count for once newer are due.
+	oldWeightsPenalty = 120 * time.Millisecond
 	// failurePenalty is the penalty of a target that fails all requests.
 	failurePenalty = 1500 * time.Millisecond
 	// importShare is the time to import a token against the time to read it.
@@ -21,6 +23,9 @@
 	// rereadCost is what reading a token again, that another target has read,
 	// counts for against the time to read it.
 	rereadCost = 12
+	// queueCaution is how much more than its time a queue counts for, since what
+	// is in front of a request varies more than the request itself.
+	queueCaution = 1.0
 	// coldShare is the part of its remaining warm-up that a request to a cold
 	// target is expected to lose.
 	coldShare = 100
@@ -47,15 +52,18 @@
 	}
 	peers := b.peerShare(c.target.ID)
 	choice.Work = work
-	queued := c.state.backlog(now, stats.prefillRate) + peers.Backlog + work
-	expected := firstByteBase + readTime(queued, stats)
+	queued := c.state.backlog(now, stats.prefillRate) + peers.Backlog
+	expected := firstByteBase + readTime(queued+work, stats)
 	expected += b.slotWait(c, peers, stats, req.Model != "")
 	expected += c.target.Cold / coldShare
 	choice.Expected = expected
-	score := expected + readTime(rereadCost*again, stats)
+	score := expected + readTime(queueCaution*queued+rereadCost*again, stats)
 	if c.target.DataCentre != b.dataCentre {
 		score += otherCentrePenalty
 	}
+	if b.history(req.Model).Behind(now, c.version) > preferNewAfter {
+		score += oldWeightsPenalty
+	}
 	score += time.Duration(c.state.failureShare(now) * float64(failurePenalty))
 	score += time.Duration(b.random.Int64N(int64(jitter)))
 	return choice, score
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -208,6 +208,16 @@
 	f.state.unstarted--
 	f.state.unstartedWork -= f.work
 	f.state.queued = min(f.state.queued, f.state.unstartedWork)
+	if f.state.unstarted == 0 {
+		f.b.tellEmptied(now, f.state)
+	}
+}
+
+// tellEmptied reports that a target waits for less of this process's work.
+func (b *Balancer) tellEmptied(now time.Duration, s *state) {
+	if b.emptied != nil && (now < s.nextUntil || now < s.loadingUntil) {
+		b.emptied()
+	}
 }
 
 // Result is how a request at a target ended.
@@ -238,6 +248,9 @@
 	quietSince := f.state.quietSince
 	f.start(now)
 	f.state.running--
+	if f.state.running == 0 {
+		f.b.tellEmptied(now, f.state)
+	}
 	f.state.fade(now)
 	switch result {
 	case Succeeded:
@@ -317,7 +330,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.state(boot)
-	named := b.rollout[model].Version
+	named := b.history(model).Newest()
 	if named > expected {
 		if s.versions == nil {
 			s.versions = map[string]int64{}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -125,7 +125,7 @@
 		boot:      newBoot(),
 		began:     time.Now(),
 		directory: fleet.NewDirectory(),
-		balancer:  balance.New(settings.DataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		balancer:  balance.New(settings.DataCentre, settings.VersionDeadline, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pools:     targetconn.NewPools(),
 	}
 	e.limiter = tokenrate.New(e.now(), settings.FirstStart)
@@ -143,6 +143,10 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	e.balancer.OnEmptied(func() {
+		e.gossip.Prompt()
+		e.rollouts.poke()
+	})
 	e.relay = relay.New(relay.Config{
 		Codec: platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools,
 		Log: e.log, Metrics: e.metrics.Scope, Now: e.now,
--- a/pkg/entry/rollouts.go
+++ b/pkg/entry/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -28,7 +27,7 @@
 	e *Entry
 
 	mu       sync.Mutex
-	named    map[string]int64
+	named    map[string]*fleet.VersionHistory
 	planners map[string]*rollout.Planner
 	fence    uint64
 	recent   map[fleet.Boot]*notice
@@ -46,7 +45,7 @@
 
 func newRollouts(e *Entry) *rollouts {
 	return &rollouts{
-		e: e, named: map[string]int64{}, planners: map[string]*rollout.Planner{},
+		e: e, named: map[string]*fleet.VersionHistory{}, planners: map[string]*rollout.Planner{},
 		recent: map[fleet.Boot]*notice{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -54,10 +53,12 @@
 // name notes the version named for a model and says whether it is newer.
 func (r *rollouts) name(model string, version int64) bool {
 	r.mu.Lock()
-	newer := version > r.named[model]
-	if newer {
-		r.named[model] = version
+	history, ok := r.named[model]
+	if !ok {
+		history = &fleet.VersionHistory{}
+		r.named[model] = history
 	}
+	newer := history.Name(r.e.now(), version)
 	r.mu.Unlock()
 	r.poke()
 	return newer
@@ -67,7 +68,18 @@
 func (r *rollouts) versions() map[string]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return maps.Clone(r.named)
+	newest := make(map[string]int64, len(r.named))
+	for model, history := range r.named {
+		newest[model] = history.Newest()
+	}
+	return newest
+}
+
+// behind returns for how long a version of a model has been out of date.
+func (r *rollouts) behind(now time.Duration, model string, version int64) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.named[model].Behind(now, version)
 }
 
 func (r *rollouts) poke() {
@@ -100,10 +112,9 @@
 		r.fence = fence
 		r.planners = map[string]*rollout.Planner{}
 	}
-	named := maps.Clone(r.named)
 	r.mu.Unlock()
 	unfinished := false
-	for model, version := range named {
+	for model, version := range r.versions() {
 		if r.planModel(ctx, fence, model, version) {
 			unfinished = true
 		}
@@ -122,8 +133,9 @@
 		if _, ok := t.Models[model]; !ok || t.Draining {
 			continue
 		}
+		has := r.e.balancer.Version(t, model)
 		engine := rollout.Engine{
-			Boot: t.Boot(), Version: r.e.balancer.Version(t, model),
+			Boot: t.Boot(), Version: has, Behind: r.behind(now, model, has),
 			Running: r.e.balancer.Running(t.Boot()), Unstarted: r.e.balancer.Unstarted(t.Boot()),
 		}
 		unfinished = unfinished || engine.Version < version
@@ -133,11 +145,14 @@
 	r.mu.Lock()
 	planner, ok := r.planners[model]
 	if !ok {
-		planner = rollout.NewPlanner()
+		planner = rollout.NewPlanner(r.e.settings.VersionDeadline)
 		r.planners[model] = planner
 	}
 	steps := planner.Plan(now, version, engines)
+	freed, ordered := planner.Changing()
+	load := planner.ExpectedLoad()
 	r.mu.Unlock()
+	r.keepAway(now, model, load, freed, ordered)
 	for _, step := range steps {
 		r.take(ctx, planner, fence, model, step, byBoot[step.Boot])
 	}
@@ -147,12 +162,24 @@
 	return unfinished
 }
 
+// keepAway keeps new requests from the engines whose change has begun, here and,
+// by the next messages, in the peers.
+func (r *rollouts) keepAway(now time.Duration, model string, load time.Duration, freed, ordered []fleet.Boot) {
+	for _, boot := range freed {
+		until := now + freeNotice
+		r.e.balancer.KeepFree(boot, until)
+		r.note(boot, func(n *notice) { n.model, n.freeUntil = model, until })
+	}
+	for _, boot := range ordered {
+		until := now + 2*load
+		r.e.balancer.Loading(boot, until)
+		r.note(boot, func(n *notice) { n.model, n.loadingUntil = model, until })
+	}
+}
+
 // take carries out one step; orders are sent from a goroutine each.
 func (r *rollouts) take(ctx context.Context, planner *rollout.Planner, fence uint64, model string, step rollout.Step, target *fleet.Target) {
-	now := r.e.now()
 	if step.Kind == rollout.Free {
-		r.e.balancer.KeepFree(step.Boot, now+freeNotice)
-		r.note(step.Boot, func(n *notice) { n.model, n.freeUntil = model, now+freeNotice })
 		return
 	}
 	copied := *target
@@ -160,9 +187,6 @@
 		go r.recount(ctx, planner, model, &copied)
 		return
 	}
-	until := now + 2*planner.ExpectedLoad()
-	r.e.balancer.Loading(step.Boot, until)
-	r.note(step.Boot, func(n *notice) { n.model, n.loadingUntil = model, until })
 	go r.order(ctx, planner, fence, model, step, &copied)
 }
 
@@ -173,7 +197,7 @@
 	}
 	began := r.e.now()
 	reply, err := r.e.platform.Engines.Order(ctx, target, rollout.Command{
-		Model: model, Version: step.Version, Holder: r.e.settings.VM, Fence: fence, Expected: step.Expected,
+		Model: model, Version: step.Version, Holder: r.e.settings.VM, Fence: fence, Expected: step.Expected, Retain: step.Retain,
 	})
 	now := r.e.now()
 	text := ""
@@ -181,7 +205,7 @@
 		text = err.Error()
 	}
 	r.e.log.Log(eventlog.OrderSent, "target", target.ID, "model", model, "version", step.Version, "fence", fence,
-		"expected", step.Expected, "outcome", reply.String(), "err", text, "took_ms", (now - began).Milliseconds())
+		"expected", step.Expected, "retain", step.Retain, "outcome", reply.String(), "err", text, "took_ms", (now - began).Milliseconds())
 	if reply == rollout.Fenced {
 		r.e.lease.fenced(fence)
 	}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -37,6 +37,9 @@
 	LeaseTTL time.Duration
 	// StopGrace is the time between a stop signal and the kill.
 	StopGrace time.Duration
+	// VersionDeadline is how long after newer weights were named a request may
+	// begin on older ones.
+	VersionDeadline time.Duration
 	// RetryRatio is the number of repeated sends that each request allows, and
 	// RetrySlack those allowed besides in each RetryWindow, over the whole fleet.
 	RetryRatio  float64
@@ -48,6 +51,8 @@
 const (
 	defaultLeaseTTL  = 3 * time.Second
 	defaultStopGrace = 8 * time.Second
+	// defaultVersionDeadline is used when the settings name none.
+	defaultVersionDeadline = 6 * time.Second
 )
 
 // Check reports all settings that are missing or out of bounds, and fills in
@@ -59,6 +64,9 @@
 	if s.StopGrace <= 0 {
 		s.StopGrace = defaultStopGrace
 	}
+	if s.VersionDeadline <= 0 {
+		s.VersionDeadline = defaultVersionDeadline
+	}
 	var problems []string
 	require := func(ok bool, problem string) {
 		if !ok {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -34,7 +34,7 @@
 	LeaderLost       = Event{922, "leader_lost", "This process gives no more orders to engines.", []string{"fence", "reason"}}
 	WeightsNamed     = Event{923, "weights_named", "The operators named newer weights of a model.", []string{"model", "version", "source"}}
 	OrderSent        = Event{924, "order_sent", "An engine was ordered to load weights.",
-		[]string{"target", "model", "version", "fence", "expected", "outcome", "err", "took_ms"}}
+		[]string{"target", "model", "version", "fence", "expected", "retain", "outcome", "err", "took_ms"}}
 	ReadyChanged       = Event{925, "ready_changed", "The process is ready for callers, or no longer.", []string{"ready", "reason"}}
 	PeerMessageInvalid = Event{926, "peer_message_invalid", "A message from a peer could not be decoded.", []string{"from", "err"}}
 	DutyFailed         = Event{927, "duty_failed", "A background duty failed and is tried again.", []string{"duty", "err"}}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -208,6 +208,8 @@
 	defer cancel()
 	stall := q.stallTimer(cancel)
 	defer stall.Stop()
+	// An answer that can't be written ends the handler from within.
+	defer func() { a.flight.End(l.Now(), balance.Abandoned) }()
 	result := q.exchange(attemptCtx, a, stall)
 	if result != delivered {
 		result = q.judge(ctx, a, result)
--- a/pkg/rollout/command.go
+++ b/pkg/rollout/command.go
@@ -7,6 +7,8 @@
 	// Holder and Fence name who gives orders, and its fencing token.
 	Holder string
 	Fence  uint64
+	// Retain lets runs go on under the new weights; otherwise they end first.
+	Retain bool
 	// Expected is the number of accepted orders that the engine must have.
 	Expected int64
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -24,7 +24,7 @@
 	// initialLoad is the expected time of a change until one has been seen.
 	initialLoad = 250 * time.Millisecond
 	// checkPause is the time between checks of a change that takes longer.
-	checkPause = 50 * time.Millisecond
+	checkPause = 60 * time.Millisecond
 	// lostPause is when to order again after an order without an answer.
 	lostPause = 50 * time.Millisecond
 	// conflictPause is when to order again after a conflict.
@@ -37,6 +37,12 @@
 	shorten = 0.03
 	// maxLoad is the longest time of a change that counts as a sample.
 	maxLoad = 2 * time.Second
+	// runsLimit is how long after an order the requests counted at the engine
+	// are taken for those that its change waits for.
+	runsLimit = time.Second
+	// urgentShare is the part of the deadline, one in so many, after which an
+	// engine changes under its runs.
+	urgentShare = 2
 	// awayWaves is how many times the engines that load at once may be away for
 	// their change, those that still run requests included.
 	awayWaves = 2
@@ -45,8 +51,10 @@
 // Engine is one engine as its orders see it.
 type Engine struct {
 	Boot fleet.Boot
-	// Version is the weights version that it is believed to have.
+	// Version is the weights version that it is believed to have, and Behind
+	// how long it has been out of date.
 	Version int64
+	Behind  time.Duration
 	// Running and Unstarted count the requests there, over all processes.
 	Running   int
 	Unstarted int
@@ -72,6 +80,8 @@
 	Version int64
 	// Expected is the number of accepted orders that the engine must have.
 	Expected int64
+	// Retain says that the change doesn't wait for the engine's runs to end.
+	Retain bool
 }
 
 // Reply is an engine's answer to an order.
@@ -109,8 +119,12 @@
 type progress struct {
 	phase   phase
 	version int64
-	since   time.Duration
-	nextAt  time.Duration
+	// retain says that the order doesn't wait for runs.
+	retain bool
+	since  time.Duration
+	// acceptedAt is when the engine took the order.
+	acceptedAt time.Duration
+	nextAt     time.Duration
 	// orders is the number of accepted orders, once it is known.
 	orders  int64
 	known   bool
@@ -124,13 +138,16 @@
 // concurrent use.
 type Planner struct {
 	engines map[fleet.Boot]*progress
+	// deadline is how long an engine may be out of date.
+	deadline time.Duration
 	// load is the running mean of a change's time.
 	load time.Duration
 }
 
-// NewPlanner returns a Planner that knows of no change.
-func NewPlanner() *Planner {
-	return &Planner{engines: map[fleet.Boot]*progress{}, load: initialLoad}
+// NewPlanner returns a Planner that knows of no change. deadline is how long an
+// engine may be out of date.
+func NewPlanner(deadline time.Duration) *Planner {
+	return &Planner{engines: map[fleet.Boot]*progress{}, deadline: deadline, load: initialLoad}
 }
 
 // ExpectedLoad is the expected time of a change.
@@ -146,7 +163,7 @@
 	})
 	var steps []Step
 	for _, e := range behind {
-		if away >= awayWaves*atOnce {
+		if away >= awayWaves*atOnce && !p.urgent(e) {
 			break
 		}
 		away++
@@ -163,7 +180,7 @@
 	for i := range engines {
 		e := &engines[i]
 		state := p.state(e)
-		if e.Version >= version && state.phase <= free {
+		if e.Version >= version && state.phase <= loading && state.phase != sending {
 			state.phase = idle
 			continue
 		}
@@ -171,7 +188,7 @@
 		case state.phase == idle:
 			behind = append(behind, e)
 			continue
-		case state.phase == loading && e.Running > 0:
+		case state.phase == loading && e.Running > 0 && !state.retain && now-state.acceptedAt < runsLimit:
 			// The load begins once the requests there have ended.
 			state.since, state.nextAt = now, now+p.load
 		case state.phase >= sending:
@@ -201,6 +218,10 @@
 			busy++
 			state.version, state.since = version, now
 			state.phase = sending
+			state.retain = p.urgent(e)
+			steps = append(steps, p.order(e, state))
+		case state.phase == loading && !state.retain && p.urgent(e):
+			state.phase, state.retain = sending, true
 			steps = append(steps, p.order(e, state))
 		case state.phase == loading && now >= state.nextAt:
 			state.phase = checking
@@ -212,13 +233,18 @@
 
 // settled says whether no request waits at an engine that is kept free; those
 // that run may end during the order.
+// urgent says whether an engine's change can't wait for its runs any more.
+func (p *Planner) urgent(e *Engine) bool {
+	return e.Behind >= p.deadline/urgentShare
+}
+
 func settled(now time.Duration, e *Engine, state *progress) bool {
 	age := now - state.since
 	return age >= freeLimit || (age >= freeSettle && e.Unstarted == 0)
 }
 
 func (p *Planner) order(e *Engine, state *progress) Step {
-	return Step{Kind: Order, Boot: e.Boot, Version: state.version, Expected: state.orders}
+	return Step{Kind: Order, Boot: e.Boot, Version: state.version, Expected: state.orders, Retain: state.retain}
 }
 
 // Replied takes an engine's answer to an order. It says whether the engine now
@@ -257,9 +283,23 @@
 	}
 	state.orders++
 	state.checks = 0
+	state.acceptedAt = now
 	state.since, state.nextAt = now, now+p.load
 }
 
+// Changing returns the engines that are kept free and those that were ordered.
+func (p *Planner) Changing() (freed, ordered []fleet.Boot) {
+	for boot, state := range p.engines {
+		switch {
+		case state.phase == free:
+			freed = append(freed, boot)
+		case state.phase > free:
+			ordered = append(ordered, boot)
+		}
+	}
+	return freed, ordered
+}
+
 // measured adapts the expected time of a change: down a little when the first
 // check found it over, and otherwise towards the time that it took.
 func (p *Planner) measured(now time.Duration, state *progress, first bool) {
