--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -29,8 +29,8 @@
 	// coldShare is the part of its remaining warm-up that a request to a cold
 	// target is expected to lose.
 	coldShare = 100
-	// saveRepeat is when a shared part that didn't come to the store is saved
-	// again.
+	// saveRepeat is when a shared part should be in the store; one that isn't
+	// is saved again.
 	saveRepeat = 500 * time.Millisecond
 	// batchCost is what each request in a full batch adds to the next token's
 	// time, as a share of the service time.
@@ -86,7 +86,7 @@
 	}
 	known, ok := b.chains.Peek(chainKey(choice.Salt, req.sharedID()))
 	stored := float64(b.store.tokens(choice.Salt, req.Shared))
-	if !b.store.followed && ok && now-known.savedAt < saveMemory {
+	if !b.store.followed && ok && known.saved(now) {
 		stored = shared
 	}
 	choice.Save = stored < shared && (!ok || now-known.savedAt > saveRepeat)
@@ -108,6 +108,12 @@
 	return own + importShare*stored + missing, missing
 }
 
+// saved says whether a part that this process had saved should be in the store.
+func (k *chain) saved(now time.Duration) bool {
+	age := now - k.savedAt
+	return age > saveRepeat && age < saveMemory
+}
+
 func (k *chain) holds(now time.Duration, c *candidate) bool {
 	for _, h := range k.holders {
 		if h.boot == c.target.Boot() {
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// leaveNotice is how long a stopping process still takes new connections,
-	// so that the balancer has noticed.
-	leaveNotice = 2500 * time.Millisecond
 	// stopMargin is left of the grace time when waiting for requests ends.
 	stopMargin = 500 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
@@ -82,7 +79,7 @@
 	e.stopping.Store(true)
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
 	e.lease.release()
-	clock.Sleep(context.Background(), leaveNotice)
+	clock.Sleep(context.Background(), e.settings.LeaveNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.StopGrace-stopMargin))
 	defer cancel()
 	err := callers.Shutdown(ctx)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -37,6 +37,9 @@
 	LeaseTTL time.Duration
 	// StopGrace is the time between a stop signal and the kill.
 	StopGrace time.Duration
+	// LeaveNotice is how long a stopping process still takes new connections,
+	// so that the balancer has noticed.
+	LeaveNotice time.Duration
 	// VersionDeadline is how long after newer weights were named a request may
 	// begin on older ones.
 	VersionDeadline time.Duration
@@ -49,8 +52,9 @@
 
 // Defaults for settings that may be missing.
 const (
-	defaultLeaseTTL  = 3 * time.Second
-	defaultStopGrace = 8 * time.Second
+	defaultLeaseTTL    = 3 * time.Second
+	defaultStopGrace   = 8 * time.Second
+	defaultLeaveNotice = 2500 * time.Millisecond
 	// defaultVersionDeadline is used when the settings name none.
 	defaultVersionDeadline = 6 * time.Second
 )
@@ -64,6 +68,9 @@
 	if s.StopGrace <= 0 {
 		s.StopGrace = defaultStopGrace
 	}
+	if s.LeaveNotice <= 0 {
+		s.LeaveNotice = defaultLeaveNotice
+	}
 	if s.VersionDeadline <= 0 {
 		s.VersionDeadline = defaultVersionDeadline
 	}
--- /dev/null
+++ b/pkg/rollout/rollout_test.go
@@ -0,0 +1,208 @@
+package rollout
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+const deadline = 6 * time.Second
+
+// fakeEngine carries out orders as the engines do: a change begins once the
+// runs have ended, and its load takes a fixed time.
+type fakeEngine struct {
+	boot     fleet.Boot
+	version  int64
+	orders   int64
+	runsEnd  time.Duration
+	target   int64
+	loadFrom time.Duration
+	busy     bool
+	loads    int
+}
+
+const loadTime = 210 * time.Millisecond
+
+func (e *fakeEngine) tick(now time.Duration) {
+	if e.busy && now >= max(e.loadFrom, e.runsEnd)+loadTime {
+		e.busy, e.version = false, e.target
+		e.loads++
+	}
+}
+
+func (e *fakeEngine) order(now time.Duration, step Step) Reply {
+	e.tick(now)
+	switch {
+	case e.busy && step.Retain && e.runsEnd > now:
+		e.runsEnd = now
+		return Accepted
+	case e.busy && step.Version == e.target:
+		return Accepted
+	case e.busy:
+		return Conflict
+	case e.version >= step.Version:
+		return Holds
+	case step.Expected != e.orders:
+		return Conflict
+	}
+	e.busy, e.target, e.loadFrom = true, step.Version, now
+	e.orders++
+	if step.Retain {
+		e.runsEnd = now
+	}
+	return Accepted
+}
+
+// wave plays a planner against engines, with versions named at given times.
+type wave struct {
+	planner *Planner
+	engines []*fakeEngine
+	known   map[fleet.Boot]int64
+	history fleet.VersionHistory
+	// runs is how long the runs last that an engine has when it is kept free.
+	runs func(engine int) time.Duration
+	// mostAway is the most engines that were away at once.
+	mostAway int
+	// oldest is the longest time that an engine was out of date.
+	oldest time.Duration
+}
+
+func newWave(n int, runs func(int) time.Duration) *wave {
+	w := &wave{planner: NewPlanner(deadline), known: map[fleet.Boot]int64{}, runs: runs}
+	for i := range n {
+		e := &fakeEngine{boot: fleet.Boot{ID: strconv.Itoa(i)}, version: 1}
+		w.engines = append(w.engines, e)
+		w.known[e.boot] = 1
+	}
+	return w
+}
+
+func (w *wave) play(until time.Duration, named map[time.Duration]int64) {
+	const step = 10 * time.Millisecond
+	for now := time.Duration(0); now < until; now += step {
+		if version, ok := named[now]; ok {
+			w.history.Name(now, version)
+		}
+		w.tick(now)
+	}
+}
+
+func (w *wave) tick(now time.Duration) {
+	var seen []Engine
+	for _, e := range w.engines {
+		e.tick(now)
+		behind := w.history.Behind(now, e.version)
+		w.oldest = max(w.oldest, behind)
+		running := 0
+		if e.runsEnd > now {
+			running = 1
+		}
+		seen = append(seen, Engine{Boot: e.boot, Version: w.known[e.boot], Behind: w.history.Behind(now, w.known[e.boot]), Running: running})
+	}
+	for _, step := range w.planner.Plan(now, w.history.Newest(), seen) {
+		w.take(now, step)
+	}
+	freed, ordered := w.planner.Changing()
+	w.mostAway = max(w.mostAway, len(freed)+len(ordered))
+}
+
+func (w *wave) take(now time.Duration, step Step) {
+	for i, e := range w.engines {
+		if e.boot != step.Boot {
+			continue
+		}
+		switch step.Kind {
+		case Free:
+			e.runsEnd = now + w.runs(i)
+		case Count:
+			w.planner.Counted(step.Boot, e.orders)
+		case Order:
+			if w.planner.Replied(now, step, e.order(now, step)) {
+				w.known[e.boot] = step.Version
+			}
+		}
+	}
+}
+
+func (w *wave) upToDate() int {
+	n := 0
+	for _, e := range w.engines {
+		if e.version == w.history.Newest() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestCalmWave(t *testing.T) {
+	Convey("Engines with short runs all change within three seconds, a third of them at once", t, func() {
+		w := newWave(12, func(int) time.Duration { return 100 * time.Millisecond })
+		w.play(3*time.Second, map[time.Duration]int64{0: 2})
+		So(w.upToDate(), ShouldEqual, 12)
+		So(w.mostAway, ShouldBeLessThanOrEqualTo, 4)
+	})
+}
+
+// TestLongRunsHoldWave is the pattern of long answers during a change: an
+// engine waits for a run of several seconds while others wait for their turn.
+func TestLongRunsHoldWave(t *testing.T) {
+	Convey("With runs of ten seconds no engine is out of date for longer than the deadline", t, func() {
+		w := newWave(12, func(int) time.Duration { return 10 * time.Second })
+		w.play(12*time.Second, map[time.Duration]int64{0: 2})
+		So(w.upToDate(), ShouldEqual, 12)
+		So(w.oldest, ShouldBeLessThan, deadline)
+	})
+}
+
+// TestVersionsInQuickSuccession is the pattern of versions named faster than a
+// wave takes: the engine that is last in each wave must not be passed over.
+func TestVersionsInQuickSuccession(t *testing.T) {
+	Convey("No engine is out of date for longer than the deadline, and superseded versions aren't loaded by all", t, func() {
+		w := newWave(18, func(i int) time.Duration { return time.Duration(i) * 100 * time.Millisecond })
+		named := map[time.Duration]int64{0: 2, 2400 * time.Millisecond: 3, 4800 * time.Millisecond: 4, 7200 * time.Millisecond: 5}
+		w.play(16*time.Second, named)
+		So(w.upToDate(), ShouldEqual, 18)
+		So(w.oldest, ShouldBeLessThan, deadline)
+		loads := 0
+		for _, e := range w.engines {
+			loads += e.loads
+		}
+		So(loads, ShouldBeLessThan, 4*18)
+	})
+}
+
+func TestLostOrders(t *testing.T) {
+	Convey("An order without an answer is sent again with the same expected count", t, func() {
+		p := NewPlanner(deadline)
+		engine := []Engine{{Boot: fleet.Boot{ID: "a"}, Version: 1}}
+		p.Plan(0, 2, engine)
+		p.Counted(engine[0].Boot, 7)
+		steps := p.Plan(time.Second, 2, engine)
+		So(steps, ShouldHaveLength, 1)
+		So(steps[0].Expected, ShouldEqual, 7)
+		So(p.Replied(time.Second, steps[0], Lost), ShouldBeFalse)
+		again := p.Plan(2*time.Second, 2, engine)
+		So(again, ShouldHaveLength, 1)
+		So(again[0].Expected, ShouldEqual, 7)
+	})
+	Convey("Orders are counted again after conflicts", t, func() {
+		p := NewPlanner(deadline)
+		engine := []Engine{{Boot: fleet.Boot{ID: "a"}, Version: 1}}
+		p.Plan(0, 2, engine)
+		p.Counted(engine[0].Boot, 0)
+		counted := false
+		for now := time.Second; now < 3*time.Second && !counted; now += 100 * time.Millisecond {
+			for _, step := range p.Plan(now, 2, engine) {
+				counted = counted || step.Kind == Count
+				if step.Kind == Order {
+					p.Replied(now, step, Conflict)
+				}
+			}
+		}
+		So(counted, ShouldBeTrue)
+	})
+}
