--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -101,7 +101,7 @@
 	states     map[fleet.Boot]*state
 	services   map[string]*serviceStats
 	chains     *lru.Cache[uint64, *chain]
-	peers      map[string]map[string]Share
+	peers      map[string]map[TargetKey]Share
 	rollout    map[string]*fleet.VersionHistory
 	// versionDeadline is when older weights may begin no request any more.
 	versionDeadline time.Duration
@@ -135,7 +135,7 @@
 		states:          map[fleet.Boot]*state{},
 		services:        map[string]*serviceStats{},
 		chains:          chains,
-		peers:           map[string]map[string]Share{},
+		peers:           map[string]map[TargetKey]Share{},
 		rollout:         map[string]*fleet.VersionHistory{},
 		versionDeadline: versionDeadline,
 	}
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -243,7 +243,7 @@
 	})
 	Convey("What peers have at a target counts as well", t, func() {
 		b, targets := newBalancer("dc0"), engines(2)
-		b.SetPeer("peer", map[string]Share{"e0": {Running: 5, Unstarted: 5, Backlog: 30_000}})
+		b.SetPeer("peer", map[TargetKey]Share{KeyOf("e0"): {Running: 5, Unstarted: 5, Backlog: 30_000}})
 		choice, _ := b.Pick(time.Second, prompt("p", 0, 100), targets)
 		So(choice.Target.ID, ShouldEqual, "e1")
 		b.SetPeer("peer", nil)
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -4,33 +4,44 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
+// TargetKey stands for a target's identifier in messages between processes. Two
+// targets with the same key share their counts, which costs a worse choice.
+type TargetKey uint32
+
+// KeyOf returns the key of a target's identifier.
+func KeyOf(id string) TargetKey {
+	return TargetKey(xxhash.Sum64String(id))
+}
+
 // Share is one process's work at one target.
 type Share struct {
-	Running   int `json:"r,omitempty"`
-	Unstarted int `json:"u,omitempty"`
+	Running   int
+	Unstarted int
 	// Backlog is the prompt tokens there that are not read yet.
-	Backlog float64 `json:"t,omitempty"`
+	Backlog float64
 }
 
-// Own returns this process's work by target identifier, idle targets left out.
-func (b *Balancer) Own(now time.Duration) map[string]Share {
+// Own returns this process's work by target, idle targets left out.
+func (b *Balancer) Own(now time.Duration) map[TargetKey]Share {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	shares := map[string]Share{}
+	shares := map[TargetKey]Share{}
 	for boot, s := range b.states {
 		if s.running > 0 {
 			backlog := math.Round(s.backlog(now, b.service(s.service).prefillRate))
-			shares[boot.ID] = Share{Running: s.running, Unstarted: s.unstarted, Backlog: backlog}
+			shares[KeyOf(boot.ID)] = Share{Running: s.running, Unstarted: s.unstarted, Backlog: backlog}
 		}
 	}
 	return shares
 }
 
 // SetPeer replaces what a peer process has at the targets; nil forgets it.
-func (b *Balancer) SetPeer(peer string, shares map[string]Share) {
+func (b *Balancer) SetPeer(peer string, shares map[TargetKey]Share) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if shares == nil {
@@ -42,8 +53,9 @@
 
 func (b *Balancer) peerShare(targetID string) Share {
 	var sum Share
+	key := KeyOf(targetID)
 	for _, shares := range b.peers {
-		share := shares[targetID]
+		share := shares[key]
 		sum.Running += share.Running
 		sum.Unstarted += share.Unstarted
 		sum.Backlog += share.Backlog
--- a/pkg/entry/cachestore.go
+++ b/pkg/entry/cachestore.go
@@ -18,9 +18,13 @@
 	// cacheEventsPause is the pause after a failed call, and between looks
 	// whether this process is to follow the store.
 	cacheEventsPause = 300 * time.Millisecond
-	// maxCacheFollowers bounds the processes that follow the store, which
-	// accepts few such calls at once.
-	maxCacheFollowers = 8
+	// maxCacheWaiters bounds the processes whose calls wait for changes: the
+	// store accepts few calls at once. The others ask without waiting, each
+	// cachePollPeriod for as many processes as cachePollProcesses, and less
+	// often when there are more.
+	maxCacheWaiters    = 8
+	cachePollPeriod    = 200 * time.Millisecond
+	cachePollProcesses = 24
 )
 
 // followCacheStore keeps the balancer's view of the cache store up to date: it
@@ -57,7 +61,8 @@
 	e.log.Log(eventlog.CacheStoreRead, "boot", content.Boot, "parts", len(content.Changes), "next", content.Next)
 	next := content.Next
 	for e.cacheStore() == address {
-		events, err := e.platform.Engines.CacheEvents(ctx, address, next, cacheEventsWait)
+		wait, spacing := e.cacheCadence()
+		events, err := e.platform.Engines.CacheEvents(ctx, address, next, wait)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -67,17 +72,26 @@
 		}
 		next = events.Next
 		e.balancer.StoreChanged(events.Changes)
-		clock.Sleep(ctx, cacheEventsSpacing)
+		clock.Sleep(ctx, spacing)
 	}
 	return nil
 }
 
-// cacheStore returns the store to follow; "" when there is none or when enough
-// other processes follow it.
+// cacheStore returns the store to follow; "" when there is none.
 func (e *Entry) cacheStore() string {
 	config := e.config.Load()
-	if config == nil || e.members.rank() >= maxCacheFollowers {
+	if config == nil {
 		return ""
 	}
 	return config.CacheStore()
 }
+
+// cacheCadence returns how long this process's calls for events wait, and the
+// pause between them.
+func (e *Entry) cacheCadence() (wait, spacing time.Duration) {
+	if e.members.rank() < maxCacheWaiters {
+		return cacheEventsWait, cacheEventsSpacing
+	}
+	processes := max(cachePollProcesses, e.members.processes())
+	return 0, cachePollPeriod * time.Duration(processes) / cachePollProcesses
+}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -10,10 +10,10 @@
 // message is this process's state for its peers.
 func (e *Entry) message() gossip.Message {
 	m := gossip.Message{
-		From:   e.settings.VM,
-		Boot:   e.boot,
-		Tokens: e.limiter.Report(e.now(), e.boot),
-		Work:   e.balancer.Own(e.now()),
+		From:  e.settings.VM,
+		Boot:  e.boot,
+		Usage: e.limiter.Usage(e.now()),
+		Work:  e.balancer.Own(e.now()),
 	}
 	if config := e.config.Load(); config != nil {
 		m.Config = config.Version
@@ -34,7 +34,7 @@
 	now := e.now()
 	e.balancer.SetPeer(m.From, m.Work)
 	if config := e.config.Load(); config != nil {
-		e.limiter.Heard(now, m.From, m.Tokens, config.Account)
+		e.limiter.Heard(now, m.From, m.Boot, m.Usage, config.Account)
 	}
 	for model, version := range m.Named {
 		e.nameWeights(model, version, m.From)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -7,16 +7,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
 
-	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
-	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
 
 const (
@@ -29,36 +26,6 @@
 	peersAtBasePeriod = 8
 )
 
-// Message is the state of one process.
-type Message struct {
-	From string `json:"from"`
-	Boot string `json:"boot"`
-	// Sequence grows with each message of a boot.
-	Sequence uint64 `json:"seq"`
-	// Config is the version of the configuration in force.
-	Config int64                    `json:"config"`
-	Tokens tokenrate.Report         `json:"tokens"`
-	Work   map[string]balance.Share `json:"work,omitempty"`
-	// Named holds the newest weights version named for each model.
-	Named map[string]int64 `json:"named,omitempty"`
-	// Fence and Engines are set by the process that gives orders.
-	Fence   uint64   `json:"fence,omitempty"`
-	Engines []Engine `json:"engines,omitempty"`
-}
-
-// Engine is what the process that gives orders knows of an engine.
-type Engine struct {
-	ID    string `json:"id"`
-	Born  int64  `json:"born"`
-	Model string `json:"model"`
-	// Version is the weights version that the engine has.
-	Version int64 `json:"version"`
-	// FreeMS and LoadingMS are how much longer the engine is to be kept free
-	// of new requests, and changes its weights.
-	FreeMS    int64 `json:"free_ms,omitempty"`
-	LoadingMS int64 `json:"loading_ms,omitempty"`
-}
-
 // Config joins what a Gossip is made of.
 type Config struct {
 	// Address is the host:port that messages come to.
@@ -138,7 +105,7 @@
 	message := g.State()
 	g.sequence++
 	message.Sequence = g.sequence
-	data, err := json.Marshal(message)
+	data, err := message.encode()
 	if err != nil || len(data) > maxMessageBytes {
 		g.Log.Log(eventlog.DutyFailed, "duty", "gossip", "err", errors.Errorf("message of %d bytes: %v", len(data), err))
 		return
@@ -166,8 +133,8 @@
 			g.Log.Log(eventlog.PeerMessageInvalid, "from", "", "err", err)
 			continue
 		}
-		var message Message
-		if err := json.Unmarshal(buffer[:n], &message); err != nil {
+		message, err := decode(buffer[:n])
+		if err != nil {
 			g.Log.Log(eventlog.PeerMessageInvalid, "from", from.String(), "err", err)
 			continue
 		}
--- a/pkg/tokenrate/tokenrate.go
+++ b/pkg/tokenrate/tokenrate.go
@@ -49,19 +49,12 @@
 	admitted map[string]float64
 }
 
-// Report is what one process tells its peers.
-type Report struct {
-	Boot string `json:"boot"`
-	// Accounts holds the accounts in use.
-	Accounts map[string]Usage `json:"accounts,omitempty"`
-}
-
 // Usage is one account's use at one process.
 type Usage struct {
 	// Admitted counts up from the process's start.
-	Admitted float64 `json:"a"`
+	Admitted float64
 	// Level is the process's view of the bucket.
-	Level float64 `json:"l"`
+	Level float64
 }
 
 // New returns a Limiter. full says that the deployment starts for the first
@@ -170,7 +163,7 @@
 
 // Heard takes a peer's report. Accounts that are not in use here are kept for
 // their first request.
-func (l *Limiter) Heard(now time.Duration, name string, report Report, account func(string) (*fleet.Account, bool)) {
+func (l *Limiter) Heard(now time.Duration, name, boot string, accounts map[string]Usage, account func(string) (*fleet.Account, bool)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m, ok := l.members[name]
@@ -180,11 +173,11 @@
 	for _, b := range l.buckets {
 		l.advance(now, b)
 	}
-	if m.boot != report.Boot {
-		m.boot, m.admitted = report.Boot, map[string]float64{}
+	if m.boot != boot {
+		m.boot, m.admitted = boot, map[string]float64{}
 	}
 	m.heard, m.heardAt = true, now
-	for accountName, usage := range report.Accounts {
+	for accountName, usage := range accounts {
 		a, known := account(accountName)
 		if !known || a.TokensPerSecond <= 0 {
 			continue
@@ -212,16 +205,16 @@
 	b.level -= usage.Admitted - last
 }
 
-// Report returns what to tell the peers.
-func (l *Limiter) Report(now time.Duration, boot string) Report {
+// Usage returns what to tell the peers: the accounts in use.
+func (l *Limiter) Usage(now time.Duration) map[string]Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	report := Report{Boot: boot, Accounts: make(map[string]Usage, len(l.buckets))}
+	accounts := make(map[string]Usage, len(l.buckets))
 	for name, b := range l.buckets {
 		l.advance(now, b)
 		if b.admitted != 0 {
-			report.Accounts[name] = Usage{Admitted: math.Round(b.admitted), Level: math.Round(b.level)}
+			accounts[name] = Usage{Admitted: math.Round(b.admitted), Level: math.Round(b.level)}
 		}
 	}
-	return report
+	return accounts
 }
--- a/pkg/tokenrate/tokenrate_test.go
+++ b/pkg/tokenrate/tokenrate_test.go
@@ -42,7 +42,7 @@
 		l := New(0, false)
 		l.SetMembers(0, []string{"peer"})
 		So(l.Take(0, account, 100).Admitted, ShouldBeFalse)
-		l.Heard(10*time.Millisecond, "peer", Report{Boot: "b", Accounts: map[string]Usage{"a": {Admitted: 5, Level: 700}}}, lookup)
+		l.Heard(10*time.Millisecond, "peer", "b", map[string]Usage{"a": {Admitted: 5, Level: 700}}, lookup)
 		So(l.Take(10*time.Millisecond, account, 600).Admitted, ShouldBeTrue)
 	})
 }
@@ -75,10 +75,10 @@
 
 func (f *fleetOfLimiters) gossip(now time.Duration) {
 	for i, from := range f.limiters {
-		report := from.Report(now, "boot")
+		usage := from.Usage(now)
 		for j, to := range f.limiters {
 			if i != j && f.side[i] == f.side[j] {
-				to.Heard(now, f.names[i], report, lookup)
+				to.Heard(now, f.names[i], "boot", usage, lookup)
 			}
 		}
 	}
--- a/tools/gen/generate.sh
+++ b/tools/gen/generate.sh
@@ -9,4 +9,11 @@
   --go_out=. --go_opt=module=github.com/baobabhub/baobabhub \
   --go-drpc_out=. --go-drpc_opt=module=github.com/baobabhub/baobabhub \
   -I proto proto/baobab/peer/v1/peer.proto
-sha256sum < proto/baobab/peer/v1/peer.proto | cut -d' ' -f1 > pkg/peer/peerpb/peer.proto.sha256
+protoc --plugin="$bin/protoc-gen-go" \
+  --go_out=. --go_opt=module=github.com/baobabhub/baobabhub \
+  -I proto proto/baobab/gossip/v1/gossip.proto
+
+# record notes which protocol file the generated code beside it comes from.
+record() { sha256sum < "$1" | cut -d' ' -f1 > "$2/$(basename "$1").sha256"; }
+record proto/baobab/peer/v1/peer.proto pkg/peer/peerpb
+record proto/baobab/gossip/v1/gossip.proto pkg/gossip/gossippb
