Import parts from engines that hold them; save along with small prompts

Cause: each save takes the request's own part along (2.1 GB on average), about 1 TB for each version over a store link of 84 to 162 GB/s; transfers queued and imports were not started, so parts were read again.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -115,11 +115,14 @@
 type chain struct {
 	holders []holder
 	savedAt time.Duration
+	// since is when this process first sent a request with the part.
+	since time.Duration
 }
 
 type holder struct {
 	boot fleet.Boot
-	at   time.Duration
+	// since and at are when the first and the last request went there.
+	since, at time.Duration
 }
 
 // New returns a Balancer of a process in a data centre. versionDeadline is how
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
 const (
@@ -32,6 +34,11 @@
 	// saveRepeat is when a shared part should be in the store; one that isn't
 	// is saved again.
 	saveRepeat = 500 * time.Millisecond
+	// savePatience is how long a shared part waits to be saved along with a
+	// small part of a request's own.
+	savePatience = 2 * time.Second
+	// readTimeLimit is when an engine that got a part should have read it.
+	readTimeLimit = 300 * time.Millisecond
 	// batchCost is what each request in a full batch adds to the next token's
 	// time, as a share of the service time.
 	batchCost = 0.3
@@ -89,10 +96,14 @@
 	if !b.store.followed && ok && known.saved(now) {
 		stored = shared
 	}
-	choice.Save = stored < shared && (!ok || now-known.savedAt > saveRepeat)
+	choice.Save = stored < shared && known.worthSaving(now, own, shared)
 	if stored > 0 {
 		choice.Import = FromStore
 	}
+	if source := known.source(now, candidates, c); source != nil {
+		choice.Import, choice.ImportAddress = FromTarget, source.Address
+		stored = shared
+	}
 	if ok && known.holds(now, c) {
 		choice.CachedTokens = int64(shared)
 		return own, 0
@@ -102,12 +113,42 @@
 		return own + importShare*shared, 0
 	}
 	if candidates[home].version == c.version {
-		choice.Import = FromTarget
-		choice.ImportAddress = candidates[home].target.Address
+		choice.Import, choice.ImportAddress = FromTarget, candidates[home].target.Address
 	}
 	return own + importShare*stored + missing, missing
 }
 
+// worthSaving says whether a request's prompt is to be sent to the cache store.
+// Its own part goes along and takes the store's link and memory, so a large one
+// waits for another request, if one comes soon. A nil chain is a part that this
+// process has not sent yet.
+func (k *chain) worthSaving(now time.Duration, own, shared float64) bool {
+	if k != nil && now-k.savedAt <= saveRepeat {
+		return false
+	}
+	return own <= shared || (k != nil && now-k.since > savePatience)
+}
+
+// source returns a target that has had time to read the part and holds it under
+// the same weights, other than the candidate itself; nil when none is known.
+func (k *chain) source(now time.Duration, candidates []candidate, c *candidate) *fleet.Target {
+	if k == nil {
+		return nil
+	}
+	for i := len(k.holders) - 1; i >= 0; i-- {
+		h := &k.holders[i]
+		if age := now - h.since; age < readTimeLimit || now-h.at > holderMemory {
+			continue
+		}
+		for j := range candidates {
+			if candidates[j].target.Boot() == h.boot && candidates[j].version == c.version && &candidates[j] != c {
+				return candidates[j].target
+			}
+		}
+	}
+	return nil
+}
+
 // saved says whether a part that this process had saved should be in the store.
 func (k *chain) saved(now time.Duration) bool {
 	age := now - k.savedAt
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -169,7 +169,7 @@
 	key := chainKey(salt, id)
 	c, ok := b.chains.Get(key)
 	if !ok {
-		c = &chain{savedAt: -saveMemory}
+		c = &chain{savedAt: -saveMemory, since: now}
 		b.chains.Add(key, c)
 	}
 	if save {
@@ -184,7 +184,7 @@
 	if len(c.holders) == maxHolders {
 		c.holders = append(c.holders[:0], c.holders[1:]...)
 	}
-	c.holders = append(c.holders, holder{boot: boot, at: now})
+	c.holders = append(c.holders, holder{boot: boot, since: now, at: now})
 }
 
 // FirstByte notes the first byte of the answer.
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -17,7 +17,7 @@
 
 const (
 	// stopMargin is left of the grace time when waiting for requests ends.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = time.Second
 	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
 	// is known when the server starts.
 	defaultHeaderTimeout = 5 * time.Second
