--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -135,6 +135,6 @@
 	l.meters.firstByte.RecordDuration(first)
 	l.meters.total.RecordDuration(total)
 	l.Log.Log(eventlog.AnswerDelivered, "request_id", q.meta.ID, "route", q.route.Name, "account", q.accountName(),
-		"target", a.choice.Target.ID, "status", a.exchange.Response.StatusCode, "tries", q.tries+1,
+		"target", a.choice.Target.ID, "status", a.exchange.Response.StatusCode, "tries", q.tries,
 		"first_byte_ms", first.Milliseconds(), "total_ms", total.Milliseconds())
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -78,8 +78,9 @@
 			return
 		}
 		a := &attempt{choice: choice, began: q.relay.Now()}
-		result := q.try(ctx, a)
 		q.tries++
+		result := q.try(ctx, a)
+		q.lastTarget = choice.Target.ID
 		if result != delivered {
 			q.logFailure(a, result)
 		}
@@ -222,7 +223,7 @@
 // stallTimer cancels an attempt of a repeatable request that gets no first byte.
 func (q *request) stallTimer(cancel func()) *time.Timer {
 	stall := max(minStall, stallObjectives*q.route.Objective)
-	if !q.route.Repeatable() || q.tries > 0 {
+	if !q.route.Repeatable() || q.tries > 1 {
 		stall = q.left() + 2*answerMargin
 	}
 	return time.AfterFunc(stall, cancel)
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -25,7 +25,7 @@
 func (q *request) refuse(f refusal) {
 	l := q.relay
 	if q.wroteHeader {
-		q.abort("", f.reason)
+		q.abort(q.lastTarget, f.reason)
 	}
 	if !f.ran {
 		q.refund()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -82,6 +82,8 @@
 	began    time.Duration
 	deadline time.Duration
 	tries    int
+	// lastTarget is the target of the last attempt that has ended.
+	lastTarget string
 	// wroteHeader says that the caller has got a part of the answer.
 	wroteHeader bool
 	// lastEventID and events follow the stream that the caller has got.
