--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/relay"
 )
 
 const (
@@ -41,6 +42,7 @@
 func (e *Entry) serve(stop context.Context) error {
 	callers := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: relay.ConnContext,
 	}
 	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
 	metrics := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/sockstate"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -72,6 +74,9 @@
 	excluded := map[string]bool{}
 	sends, misses := 0, 0
 	for {
+		if q.callerClosed() {
+			q.abandon(&attempt{})
+		}
 		choice, refusal := q.choose(excluded)
 		if refusal != nil {
 			q.refuse(*refusal)
@@ -117,6 +122,14 @@
 	}
 }
 
+// callerClosed says whether the caller closed its connection before the request
+// was sent on. The server notices a close only while a handler runs, so that of
+// a request that waited to be read has not been noticed yet.
+func (q *request) callerClosed() bool {
+	conn, ok := q.r.Context().Value(callerConnKey{}).(net.Conn)
+	return ok && sockstate.Of(conn) == sockstate.Closed
+}
+
 // mayGoOn says whether the request may be sent to another target.
 func (q *request) mayGoOn(result outcome, sends int) bool {
 	if result == outOfTime || sends >= q.route.Attempts || q.left() <= 0 {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -66,6 +67,15 @@
 	return &Relay{Config: config, meters: newMeters(config.Metrics)}
 }
 
+// callerConnKey is the context key of a caller's connection.
+type callerConnKey struct{}
+
+// ConnContext keeps a caller's connection in its requests' contexts. It is for
+// http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
 // request is one caller's request on its way.
 type request struct {
 	relay   *Relay
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -12,10 +12,11 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/sockstate"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -63,7 +64,7 @@
 		c.Close()
 		return nil, sent, errors.Annotate(err, "writing a request")
 	}
-	resp, err := c.readHeader(req)
+	resp, err := c.readHeader(req) //nolint:bodyclose // the exchange hands the body on; closing the connection ends it
 	if err != nil {
 		stop()
 		c.Close()
@@ -152,11 +153,8 @@
 	if now.Sub(c.idleSince) > c.keepAlive-keepAliveMargin(c.keepAlive) {
 		return false
 	}
-	raw, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	return silent(raw)
+	state := sockstate.Of(c.net)
+	return state == sockstate.Silent || state == sockstate.Unknown
 }
 
 // keepAliveMargin is the part of a target's idle timeout that is left unused,
@@ -166,22 +164,6 @@
 	return timeout / share
 }
 
-// silent looks, without waiting, whether the peer sent or closed anything.
-func silent(conn syscall.Conn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
-}
-
 // ReadAll reads the rest of an answer's body, at most limit bytes.
 func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(e.Response.Body, limit+1))
