--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -275,6 +275,19 @@
 		}
 		So(back, ShouldBeTrue)
 	})
+	Convey("A target that leaves a request without a byte stays left out after the request has ended", t, func() {
+		for _, result := range []Result{Failed, Abandoned} {
+			b, targets := newBalancer("dc0"), engines(2)
+			req := &Request{Service: "s"}
+			choice := Choice{Target: targets[0]}
+			flight := b.Begin(time.Second, req, &choice)
+			flight.End(3400*time.Millisecond, result)
+			for range 10 {
+				next, _ := b.Pick(3500*time.Millisecond, req, targets)
+				So(next.Target.ID, ShouldEqual, "e1")
+			}
+		}
+	})
 	Convey("A target that takes no connection is left out for a while", t, func() {
 		b, targets := newBalancer("dc0"), engines(2)
 		req := &Request{Service: "s"}
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -21,7 +21,7 @@
 	// noTargetRetry is when to come back while no target is known.
 	noTargetRetry = time.Second
 	// silenceLimit is how long a target with work may say nothing.
-	silenceLimit = time.Second
+	silenceLimit = 700 * time.Millisecond
 )
 
 // candidate is a target that may serve the request.
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -15,6 +15,8 @@
 	// failed connections.
 	suspectMin = 250 * time.Millisecond
 	suspectMax = 2 * time.Second
+	// silentMin is suspectMin for a target that left a request without a byte.
+	silentMin = time.Second
 	// initialPrefillRate is used until a service's own rate is known, in prompt
 	// tokens a millisecond.
 	initialPrefillRate = 80.0
@@ -123,6 +125,13 @@
 	s.fadedAt = now
 }
 
+// suspect leaves the target out for at least a time, and longer each time until
+// it serves a request.
+func (s *state) suspect(now, least time.Duration) {
+	s.suspectFor = min(suspectMax, max(least, 2*s.suspectFor))
+	s.suspectUntil = now + s.suspectFor
+}
+
 // failureShare estimates the share of requests that fail, with a prior of few.
 func (s *state) failureShare(now time.Duration) float64 {
 	const prior = 4
@@ -261,12 +270,14 @@
 	case Failed, Refused:
 		f.state.ended++
 		f.state.failed++
+		if result == Failed && !spoke && now-quietSince >= silenceLimit {
+			f.state.suspect(now, silentMin)
+		}
 	case Unreached:
-		f.state.suspectFor = min(suspectMax, max(suspectMin, 2*f.state.suspectFor))
-		f.state.suspectUntil = now + f.state.suspectFor
+		f.state.suspect(now, suspectMin)
 	case Abandoned:
 		if !spoke && now-quietSince >= silenceLimit {
-			f.state.suspectUntil = now + suspectMin
+			f.state.suspect(now, silentMin)
 		}
 	}
 }
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -21,8 +21,8 @@
 	userTimeout = 2 * time.Second
 	// keepAliveIdle and keepAliveInterval are those of TCP's own probes, which
 	// find idle connections that went silent.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
+	keepAliveIdle     = 500 * time.Millisecond
+	keepAliveInterval = 300 * time.Millisecond
 	keepAliveCount    = 2
 	// defaultKeepAlive is used until a target names its idle timeout.
 	defaultKeepAlive = 4 * time.Second
