--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -25,12 +25,12 @@
 	// preferenceSpread is the most that one process prefers one target to
 	// another for no other reason than to differ from its peers, whose messages
 	// are some hundred milliseconds old.
-	preferenceSpread = 20 * time.Millisecond
+	preferenceSpread = 40 * time.Millisecond
 	// jitter keeps processes with the same view from choosing alike.
 	jitter = 4 * time.Millisecond
 	// awayImportShare is importShare at targets other than the part's home, which
 	// is more likely to hold it already.
-	awayImportShare = 0.6
+	awayImportShare = 0.4
 	// rereadCost is what reading a token again, that another target has read,
 	// counts for against the time to read it.
 	rereadCost = 12
