--- a/pkg/cli/entry.go
+++ b/pkg/cli/entry.go
@@ -44,6 +44,14 @@
 		}
 		ctx, stop := signal.NotifyContext(c.Context, syscall.SIGTERM, os.Interrupt)
 		defer stop()
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		go func() {
+			for range hangups {
+				_, err := platform.Load(c.String("settings"))
+				process.SettingsChanged(err)
+			}
+		}()
 		return errors.Trace(process.Run(ctx))
 	}
 	return app
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -190,6 +190,16 @@
 	return errors.Trace(err)
 }
 
+// SettingsChanged notes that the settings file was read again on a signal; err
+// says why it can't be used. Addresses and limits take effect at the next start.
+func (e *Entry) SettingsChanged(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	e.log.Log(eventlog.SettingsReloaded, "err", text)
+}
+
 func (e *Entry) duties() []func(context.Context) {
 	return []func(context.Context){
 		e.followOperator,
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -31,8 +31,6 @@
 	FirstStart bool
 	// MemoryBytes is the most memory that the process may use.
 	MemoryBytes int64
-	// MaxDescriptors is the most open files and sockets.
-	MaxDescriptors int
 	// LeaseTTL is the time to live of the process's lease in the store.
 	LeaseTTL time.Duration
 	// StopGrace is the time between a stop signal and the kill.
@@ -44,10 +42,9 @@
 	// begin on older ones.
 	VersionDeadline time.Duration
 	// RetryRatio is the number of repeated sends that each request allows, and
-	// RetrySlack those allowed besides in each RetryWindow, over the whole fleet.
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetrySlack those allowed besides, over the whole fleet.
+	RetryRatio float64
+	RetrySlack float64
 }
 
 // Defaults for settings that may be missing.
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -41,7 +41,7 @@
 	LinesDropped       = Event{928, "log_lines_dropped", "Log lines were left out because the output was too slow.", []string{"lines"}}
 	CacheStoreRead     = Event{930, "cache_store_read", "The cache store's whole content was read: at start, after its restart, or when changes were missed.",
 		[]string{"address", "boot", "parts", "next"}}
-	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again.", []string{"err"}}
+	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again on a signal; it takes effect at the next start.", []string{"err"}}
 )
 
 var entryEvents = []Event{
