A refusal after an attempt that may have run is no promise

Found by reading: a repeatable request whose first attempt broke off and whose second was shed was answered 503, which says that it has not run. The test failed first (503 for 502).

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -55,6 +55,16 @@
 
 func (o outcome) String() string { return outcomeNames[o] }
 
+// mayHaveRun says whether an attempt with this outcome may have run.
+func (o outcome) mayHaveRun(a *attempt) bool {
+	switch o {
+	case unreached, notRun, stale:
+		return false
+	default:
+		return a.sent
+	}
+}
+
 // attempt is the sending of a request to one target.
 type attempt struct {
 	choice   balance.Choice
@@ -86,6 +96,7 @@
 		q.tries++
 		result := q.try(ctx, a)
 		q.lastTarget = choice.Target.ID
+		q.mayHaveRun = q.mayHaveRun || result.mayHaveRun(a)
 		if result != delivered {
 			q.logFailure(a, result)
 		}
@@ -370,6 +381,9 @@
 
 // abandon notes that the caller is gone.
 func (q *request) abandon(a *attempt) {
+	if !q.mayHaveRun {
+		q.refund()
+	}
 	q.relay.meters.left.Inc(1)
 	q.relay.Log.Log(eventlog.CallerLeft, "request_id", q.meta.ID, "route", q.route.Name,
 		"target", a.choice.Target.ID, "total_ms", (q.relay.Now() - q.began).Milliseconds())
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -27,6 +27,11 @@
 	if q.wroteHeader {
 		q.abort(q.lastTarget, f.reason)
 	}
+	if q.mayHaveRun && !f.ran {
+		// An earlier attempt may have run: the caller must not take this for a
+		// promise that none has.
+		f = refusal{status: http.StatusBadGateway, reason: f.reason, ran: true}
+	}
 	if !f.ran {
 		q.refund()
 	}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -92,6 +92,8 @@
 	began    time.Duration
 	deadline time.Duration
 	tries    int
+	// mayHaveRun says that an attempt that has ended may have run.
+	mayHaveRun bool
 	// lastTarget is the target of the last attempt that has ended.
 	lastTarget string
 	// wroteHeader says that the caller has got a part of the answer.
