--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -12,15 +12,15 @@
 )
 
 const (
-	// operatorWait is how long a watch of the operators' keys stays open. A
-	// connection that went silent is ended sooner by the store's client.
-	operatorWait = 10 * time.Second
+	// operatorWait is how long a watch of the operators' keys stays open: a
+	// watch that the store has forgotten is noticed after it.
+	operatorWait = 1500 * time.Millisecond
 	// targetWait and targetSpacing are those of the targets' entries, which
 	// change all the time.
 	targetWait    = time.Second
 	targetSpacing = 900 * time.Millisecond
 	// ownWait is that of the system's own keys.
-	ownWait = 10 * time.Second
+	ownWait = 3 * time.Second
 )
 
 // contact logs when a feed loses or regains the store.
