Remove what nothing calls; a stop that cut requests doesn't say that it cut none

Found by reading the whole change: Pools.Opened and CloseIdle, Balancer.ServiceTime and the limiter's start were called by nothing; the doc comment of settled stood above urgent; the stop's log line said cut_requests 0 also when waiting for the requests had failed. Decisions are unchanged.

--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -77,10 +77,3 @@
 	defer b.mu.Unlock()
 	return b.state(boot).running + b.peerShare(boot.ID).Running
 }
-
-// ServiceTime returns the mean time of a service's requests.
-func (b *Balancer) ServiceTime(service string) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.service(service).serviceTime
-}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -128,7 +128,7 @@
 		balancer:  balance.New(settings.VM, settings.DataCentre, settings.VersionDeadline, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pools:     targetconn.NewPools(),
 	}
-	e.limiter = tokenrate.New(e.now(), settings.FirstStart)
+	e.limiter = tokenrate.New(settings.FirstStart)
 	e.members = newMembers(e)
 	e.lease = newLeaseKeeper(e)
 	e.rollouts = newRollouts(e)
@@ -185,7 +185,12 @@
 		err = closeErr
 	}
 	running.Wait()
-	e.log.Log(eventlog.Stopped, "cut_requests", 0)
+	if err == nil {
+		// The servers' shutdown waits for all requests, or fails.
+		e.log.Log(eventlog.Stopped, "cut_requests", 0)
+	} else {
+		e.log.Log(eventlog.Stopped, "err", err)
+	}
 	e.ring.Close()
 	return errors.Trace(err)
 }
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -228,13 +228,13 @@
 	return steps
 }
 
-// settled says whether no request waits at an engine that is kept free; those
-// that run may end during the order.
 // urgent says whether an engine's change can't wait for its runs any more.
 func (p *Planner) urgent(e *Engine) bool {
 	return e.Behind >= p.deadline/urgentShare
 }
 
+// settled says whether no request waits at an engine that is kept free; those
+// that run may end during the order.
 func settled(now time.Duration, e *Engine, state *progress) bool {
 	age := now - state.since
 	return age >= freeLimit || (age >= freeSettle && e.Unstarted == 0)
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -37,8 +37,6 @@
 type Pools struct {
 	mu     sync.Mutex
 	byBoot map[fleet.Boot]*pool
-	// opened counts new connections.
-	opened uint64
 }
 
 type pool struct {
@@ -71,30 +69,9 @@
 		pl.closed()
 		return nil, false, errors.Annotatef(err, "connecting to target %s", target.ID)
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
 	return conn, false, nil
 }
 
-// Opened returns the number of connections opened so far.
-func (p *Pools) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
-// CloseIdle closes the idle connections to a target. It is for callers that
-// saw one connection fall silent: its neighbours may be silent too.
-func (p *Pools) CloseIdle(boot fleet.Boot) {
-	p.mu.Lock()
-	pl := p.byBoot[boot]
-	p.mu.Unlock()
-	if pl != nil {
-		pl.closeIdle()
-	}
-}
-
 // Prune closes idle connections past their time and drops unused pools.
 func (p *Pools) Prune(now time.Time) {
 	p.mu.Lock()
@@ -164,16 +141,6 @@
 	p.open--
 }
 
-func (p *pool) closeIdle() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, conn := range p.idle {
-		conn.hangUp()
-		p.open--
-	}
-	p.idle = nil
-}
-
 // prune says whether the pool is unused for so long that it can be dropped.
 func (p *pool) prune(now time.Time) bool {
 	p.mu.Lock()
--- a/pkg/tokenrate/tokenrate.go
+++ b/pkg/tokenrate/tokenrate.go
@@ -28,7 +28,6 @@
 	members map[string]*member
 	// trusted says that new buckets start full: nobody has used any yet.
 	trusted bool
-	started time.Duration
 }
 
 type bucket struct {
@@ -60,8 +59,8 @@
 // New returns a Limiter. full says that the deployment starts for the first
 // time, so that buckets start full; otherwise they start empty until a peer
 // tells their level.
-func New(now time.Duration, full bool) *Limiter {
-	return &Limiter{buckets: map[string]*bucket{}, members: map[string]*member{}, trusted: full, started: now}
+func New(full bool) *Limiter {
+	return &Limiter{buckets: map[string]*bucket{}, members: map[string]*member{}, trusted: full}
 }
 
 // Decision is the answer to one request for tokens.
--- a/pkg/tokenrate/tokenrate_test.go
+++ b/pkg/tokenrate/tokenrate_test.go
@@ -16,7 +16,7 @@
 
 func TestTake(t *testing.T) {
 	Convey("Given a limiter of a deployment's first start", t, func() {
-		l := New(0, true)
+		l := New(true)
 		Convey("the burst passes at once, and the rate after it", func() {
 			So(l.Take(0, account, 1000).Admitted, ShouldBeTrue)
 			refused := l.Take(0, account, 500)
@@ -39,7 +39,7 @@
 		})
 	})
 	Convey("A restarted process starts empty and takes the level that a peer tells", t, func() {
-		l := New(0, false)
+		l := New(false)
 		l.SetMembers(0, []string{"peer"})
 		So(l.Take(0, account, 100).Admitted, ShouldBeFalse)
 		l.Heard(10*time.Millisecond, "peer", "b", map[string]Usage{"a": {Admitted: 5, Level: 700}}, lookup)
@@ -58,7 +58,7 @@
 func newFleet(n int) *fleetOfLimiters {
 	f := &fleetOfLimiters{side: make([]int, n)}
 	for i := range n {
-		f.limiters = append(f.limiters, New(0, true))
+		f.limiters = append(f.limiters, New(true))
 		f.names = append(f.names, string(rune('A'+i)))
 	}
 	for i, l := range f.limiters {
