Pass on the last byte of a stream; events may end with CR LF

Cause: relayStream passed on what it had only from two bytes up, so a single byte after the last event was dropped at the stream's end; and only LF LF ended an event, so a stream with CR LF line ends was held until its end. Now an eventReader of its own does this, with a table and a property test: with the old conditions put back, three rows and the property fail ("passed [] of \"\n\""); with the new ones both pass.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// streamBufferBytes is the first size of a stream's buffer.
-	streamBufferBytes = 4 << 10
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
 	// resumeStall is how long a resumable stream may pause before it goes on
 	// at another target.
 	resumeStall = 1500 * time.Millisecond
@@ -24,33 +20,18 @@
 // errStreamEnded means that a target broke a stream off.
 const errStreamEnded = errors.ConstError("stream broken off")
 
-// eventBreak ends an event of a stream.
-var eventBreak = []byte("\n\n")
-
 // relayStream hands on a stream event by event. An event that is cut short is
 // never handed on in part, so that the stream can go on at another target.
 func (q *request) relayStream(a *attempt, stall *time.Timer) outcome {
-	buffer := make([]byte, 0, streamBufferBytes)
+	reader := newEventReader(a.exchange.Response.Body)
 	control := http.NewResponseController(q.w)
 	for {
-		if len(buffer) == cap(buffer) {
-			if cap(buffer) >= maxEventBytes {
-				return q.breakStream(a, errors.New("event too large"))
-			}
-			buffer = append(buffer, make([]byte, cap(buffer))...)[:len(buffer)]
-		}
-		n, err := a.exchange.Response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		whole := bytes.LastIndex(buffer, eventBreak) + len(eventBreak)
-		if errors.Is(err, io.EOF) {
-			whole = len(buffer)
-		}
-		if whole >= len(eventBreak) {
-			if !q.passEvents(a, control, buffer[:whole]) {
+		events, err := reader.next()
+		if len(events) > 0 {
+			if !q.passEvents(a, control, events) {
 				a.exchange.Finish(false)
 				return callerLeft
 			}
-			buffer = buffer[:copy(buffer, buffer[whole:])]
 			q.armStall(stall)
 		}
 		switch {
