Answer the requests that are left before a planned stop ends

Ruled out: a request that crossed the close; it had been read, sent on and logged 1.5 s before. Now the requests that are left at that time get their final answer, 504 with reason "stopping" once they were sent on (never a promise that they haven't run), and have 500 ms to write it.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -107,7 +107,11 @@
 	rollouts  *rollouts
 
 	stopping atomic.Bool
-	ready    readiness
+	// concluded ends when the requests that are left must get their final
+	// answer; conclude ends it.
+	concluded context.Context
+	conclude  context.CancelFunc
+	ready     readiness
 }
 
 // New joins an entry process that logs to out. It serves nothing yet.
@@ -128,6 +132,7 @@
 		balancer:  balance.New(settings.VM, settings.DataCentre, settings.VersionDeadline, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		pools:     targetconn.NewPools(),
 	}
+	e.concluded, e.conclude = context.WithCancel(context.Background())
 	e.limiter = tokenrate.New(settings.FirstStart)
 	e.members = newMembers(e)
 	e.lease = newLeaseKeeper(e)
@@ -153,6 +158,7 @@
 		Deployment: e.config.Load,
 		Targets:    func() []fleet.Target { return e.directory.Targets(e.now()) },
 		Stopping:   e.stopping.Load,
+		Concluded:  e.concluded,
 		Processes:  e.members.processes,
 		Retries:    relay.NewRetryBudgets(settings.RetryRatio, settings.RetrySlack),
 	})
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// stopMargin is left of the grace time when waiting for requests ends.
+	// stopMargin is left of the grace time when waiting for targets ends.
 	stopMargin = time.Second
+	// concludeTime is what the requests that are left then have to write their
+	// final answers.
+	concludeTime = 500 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdleTimeout hold until a configuration
 	// is known when the server starts.
 	defaultHeaderTimeout = 5 * time.Second
@@ -38,7 +41,8 @@
 
 // serve serves callers, readiness checks and metrics until stop ends, and then
 // drains: first it says that it isn't ready, then it takes no new connections,
-// and last it waits for the requests that it has.
+// and last it waits for the requests that it has. Those that are left near the
+// end of the grace time get their final answer without their targets'.
 func (e *Entry) serve(stop context.Context) error {
 	callers := &http.Server{
 		Handler: e.relay, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -82,7 +86,10 @@
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
 	e.lease.release()
 	clock.Sleep(context.Background(), e.settings.LeaveNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(e.settings.StopGrace-stopMargin))
+	last := began.Add(e.settings.StopGrace - stopMargin)
+	concluding := time.AfterFunc(time.Until(last), e.conclude)
+	defer concluding.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), last.Add(concludeTime))
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	// Nothing waits on these two; what they still hold ends with the process.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -164,12 +164,20 @@
 	case answeredError:
 		q.returnFailure(a)
 	case outOfTime:
-		q.refuse(refusal{status: http.StatusGatewayTimeout, reason: "deadline", ran: a.sent})
+		q.refuse(refusal{status: http.StatusGatewayTimeout, reason: q.endReason(), ran: a.sent})
 	default:
 		q.refuse(refusal{status: http.StatusBadGateway, reason: "target_failed", ran: true})
 	}
 }
 
+// endReason says what ended a request's time.
+func (q *request) endReason() string {
+	if q.relay.Concluded.Err() != nil {
+		return "stopping"
+	}
+	return "deadline"
+}
+
 func (q *request) notRunRefusal(reason string) refusal {
 	return refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: shedRetry}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -50,6 +50,9 @@
 	Targets func() []fleet.Target
 	// Stopping says that connections are to be closed after their answer.
 	Stopping func() bool
+	// Concluded ends when all requests must get their final answer, before a
+	// planned stop ends the process.
+	Concluded context.Context
 	// Processes is the number of entry processes, this one included.
 	Processes func() int
 	// Retries bounds the requests that are sent more than once.
@@ -116,6 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.left()+answerMargin)
 	defer cancel()
+	defer context.AfterFunc(l.Concluded, cancel)()
 	q.run(ctx)
 }
 
