--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// Tolerances of an account's rate, as the rules have them.
+// Tolerances of an account's rate.
 const (
 	quotaOver   = 1.1
 	narrowSlack = 10 * plainTokens
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -58,7 +58,10 @@
 	failing
 	breaking
 	unstamped
+	// misdelivering targets give the answer to another request.
+	misdelivering
 	slow
+	behaviours
 )
 
 // ledger is what all targets together have seen.
@@ -175,6 +178,10 @@
 			answerStream(w, r, id, b)
 			return
 		}
+		if b == misdelivering {
+			id = "other"
+			w.Header().Set(headerID, id)
+		}
 		text := wholeAnswer(id, r.Header.Get("X-Body"))
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		if b == breaking {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -27,7 +27,7 @@
 	faultTime = flag.Duration("soak.time", 6*time.Second, "time of faults for each seed")
 	entries   = flag.Int("soak.entries", 3, "entry processes")
 	targets   = flag.Int("soak.targets", 4, "targets")
-	atOnce    = flag.Int("soak.at-once", 1, "seeds played at the same time")
+	atOnce    = flag.Int("soak.at-once", 2, "seeds played at the same time")
 	keepLogs  = flag.String("soak.logs", "", "directory that keeps the processes' logs")
 )
 
@@ -205,7 +205,7 @@
 
 func badTarget(w *world, f fault) {
 	id := w.targets[f.target].ID
-	w.ledger.behave(id, shedding+behaviour(f.number%5))
+	w.ledger.behave(id, shedding+behaviour(f.number)%(behaviours-shedding))
 	time.Sleep(f.length)
 	w.ledger.behave(id, wellBehaved)
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -30,8 +30,8 @@
   {"name":"t2","api_keys":["key-2"],"unit":"tokens","plain_tokens":200,"rate_per_s":%d,"burst":%d,"isolated":true}]}`
 
 const (
-	narrowRate  = 2000
-	narrowBurst = 4000
+	narrowRate  = 400
+	narrowBurst = 1000
 	plainTokens = 200
 	// leaseTTL is the time to live of the processes' leases.
 	leaseTTL = 3 * time.Second
