Count a request that another target refused against the retry budget

Now it takes a retry from the budget, and the target that has left its address isn't chosen for 2 s instead of 0.25 s.

--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -241,6 +241,8 @@
 	Refused
 	// Unreached targets took no connection.
 	Unreached
+	// Gone targets have left their address to another one.
+	Gone
 	// Abandoned requests were ended by their caller or its deadline.
 	Abandoned
 )
@@ -275,6 +277,8 @@
 		}
 	case Unreached:
 		f.state.suspect(now, suspectMin)
+	case Gone:
+		f.state.suspect(now, suspectMax)
 	case Abandoned:
 		if !spoke && now-quietSince >= silenceLimit {
 			f.state.suspect(now, silentMin)
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -42,9 +42,8 @@
 		return stale
 	}
 	if misdirected {
-		// Another target has the address; the chosen one was not asked.
 		a.err = errors.New("another target has the address")
-		return unreached
+		return elsewhere
 	}
 	return notRun
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -37,6 +37,8 @@
 	delivered outcome = iota
 	// unreached: no connection; nothing was sent.
 	unreached
+	// elsewhere: another target has the address; the chosen one wasn't asked.
+	elsewhere
 	// notRun: the target promised that the request has not run.
 	notRun
 	// stale: the target has other weights than expected; not run.
@@ -51,20 +53,25 @@
 	outOfTime
 )
 
-var outcomeNames = [...]string{"delivered", "unreached", "not_run", "stale_weights", "failed", "answered_error", "caller_left", "out_of_time"}
+var outcomeNames = [...]string{"delivered", "unreached", "elsewhere", "not_run", "stale_weights", "failed", "answered_error", "caller_left", "out_of_time"}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
 // mayHaveRun says whether an attempt with this outcome may have run.
 func (o outcome) mayHaveRun(a *attempt) bool {
 	switch o {
-	case unreached, notRun, stale:
+	case unreached, elsewhere, notRun, stale:
 		return false
 	default:
 		return a.sent
 	}
 }
 
+// missReasons say why a request that no target took has not run.
+var missReasons = map[outcome]string{
+	unreached: "targets_unreachable", elsewhere: "targets_unreachable", stale: "weights_changed",
+}
+
 // attempt is the sending of a request to one target.
 type attempt struct {
 	choice   balance.Choice
@@ -106,21 +113,15 @@
 		case callerLeft:
 			q.abandon(a)
 			return
-		case unreached:
-			misses++
-			excluded[choice.Target.ID] = true
-			if misses < maxUnreached {
-				continue
-			}
-			q.refuse(q.notRunRefusal("targets_unreachable"))
-			return
-		case stale:
-			// The same target may be asked again with the version it has.
+		case unreached, elsewhere, stale:
 			misses++
-			if misses < maxUnreached && q.mayRetry() {
+			// With other weights, the same target may be asked again with the
+			// version that it has.
+			excluded[choice.Target.ID] = result != stale
+			if misses < maxUnreached && (result == unreached || q.mayRetry()) {
 				continue
 			}
-			q.refuse(q.notRunRefusal("weights_changed"))
+			q.refuse(q.notRunRefusal(missReasons[result]))
 			return
 		}
 		sends++
@@ -282,6 +283,8 @@
 		return balance.Succeeded
 	case unreached:
 		return balance.Unreached
+	case elsewhere:
+		return balance.Gone
 	case notRun:
 		return balance.Refused
 	case stale:
