--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -105,6 +105,7 @@
 	members   *members
 	lease     *leaseKeeper
 	rollouts  *rollouts
+	overdue   *overdue
 
 	stopping atomic.Bool
 	// concluded ends when the requests that are left must get their final
@@ -136,6 +137,7 @@
 	e.limiter = tokenrate.New(settings.FirstStart)
 	e.members = newMembers(e)
 	e.lease = newLeaseKeeper(e)
+	e.overdue = newOverdue()
 	e.rollouts = newRollouts(e)
 	var err error
 	e.gossip, err = gossip.New(gossip.Config{
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -13,8 +13,8 @@
 
 const (
 	// operatorWait is how long a watch of the operators' keys stays open: a
-	// watch that the store has forgotten is noticed after it.
-	operatorWait = 1500 * time.Millisecond
+	// watch that the store has forgotten is noticed soon after it.
+	operatorWait = 1300 * time.Millisecond
 	// targetWait and targetSpacing are those of the targets' entries, which
 	// change all the time.
 	targetWait    = time.Second
@@ -51,6 +51,7 @@
 	c := &contact{e: e, feed: "operator"}
 	follower := kv.Follower{
 		Store: e.platform.Store, Prefix: e.platform.Keys.Operator, Wait: operatorWait,
+		Hurry:     e.overdue.hurry,
 		OnUpdate:  e.operatorUpdate,
 		OnContact: c.note,
 	}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
 )
@@ -34,6 +35,9 @@
 	now := e.now()
 	e.balancer.SetPeer(m.From, m.Work)
 	if config := e.config.Load(); config != nil {
+		if e.overdue.heard(now, m.Config, config.Version) {
+			e.log.Log(eventlog.ConfigOverdue, "peer", m.From, "version", m.Config, "in_force", config.Version)
+		}
 		e.limiter.Heard(now, m.From, m.Boot, m.Usage, config.Account)
 	}
 	for model, version := range m.Named {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -41,6 +41,7 @@
 	LinesDropped       = Event{928, "log_lines_dropped", "Log lines were left out because the output was too slow.", []string{"lines"}}
 	CacheStoreRead     = Event{930, "cache_store_read", "The cache store's whole content was read: at start, after its restart, or when changes were missed.",
 		[]string{"address", "boot", "parts", "next"}}
+	ConfigOverdue    = Event{931, "config_overdue", "A peer has a newer configuration that the watch has not told; the store is asked at once.", []string{"peer", "version", "in_force"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again on a signal; it takes effect at the next start.", []string{"err"}}
 )
 
@@ -48,5 +49,5 @@
 	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft, RequestPanicked,
 	ConfigInForce, ConfigRejected, TargetListed, TargetRemoved, TargetUnreadable, StoreLost, StoreRegained,
 	PeerHeard, PeerSilent, MembersChanged, LeaseLost, LeaderGained, LeaderLost, WeightsNamed, OrderSent,
-	ReadyChanged, PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead,
+	ReadyChanged, PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 }
--- a/pkg/kv/follower.go
+++ b/pkg/kv/follower.go
@@ -40,6 +40,9 @@
 	Spacing time.Duration
 	// OnUpdate takes updates, from one goroutine.
 	OnUpdate func(Update)
+	// Hurry, when it sends, ends the watch under way and has all entries listed
+	// at once: there is news that the watch should have told. It may be nil.
+	Hurry <-chan struct{}
 	// OnContact is told whether the last call was answered; err is nil when it
 	// was. A nil OnContact is not called.
 	OnContact func(err error)
@@ -52,10 +55,14 @@
 	pause := followPauseMin
 	for ctx.Err() == nil {
 		began := time.Now()
-		next, err := f.step(ctx, listed, revision)
+		next, hurried, err := f.interruptible(ctx, listed, revision)
 		if ctx.Err() != nil {
 			return
 		}
+		if hurried {
+			listed = false
+			continue
+		}
 		if f.OnContact != nil {
 			f.OnContact(err)
 		}
@@ -72,6 +79,26 @@
 	}
 }
 
+// interruptible is step, and says whether Hurry ended it.
+func (f *Follower) interruptible(ctx context.Context, listed bool, revision uint64) (next uint64, hurried bool, err error) {
+	stepCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	interrupted := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.Hurry:
+			cancel()
+			interrupted <- true
+		case <-done:
+			interrupted <- false
+		}
+	}()
+	next, err = f.step(stepCtx, listed, revision)
+	close(done)
+	return next, <-interrupted, err
+}
+
 // step lists or watches once and returns the revision reached.
 func (f *Follower) step(ctx context.Context, listed bool, revision uint64) (uint64, error) {
 	if !listed {
