Crashed engines hold up no other's change of weights

Test: TestCrashDuringWave, the pattern of 14 of 45 engines crashed before or in a wave: red before (a living engine left behind after 3 s; 245 and 268 orders to the dead, 112 allowed), green after.

--- a/pkg/entry/rollouts.go
+++ b/pkg/entry/rollouts.go
@@ -227,6 +227,9 @@
 	report, err := r.e.platform.Engines.Report(ctx, target)
 	if err != nil {
 		r.e.log.Log(eventlog.DutyFailed, "duty", "report", "err", err)
+		r.mu.Lock()
+		planner.NotCounted(r.e.now(), target.Boot())
+		r.mu.Unlock()
 		return
 	}
 	r.mu.Lock()
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -25,8 +25,13 @@
 	initialLoad = 250 * time.Millisecond
 	// checkPause is the time between checks of a change that takes longer.
 	checkPause = 60 * time.Millisecond
-	// lostPause is when to order again after an order without an answer.
-	lostPause = 50 * time.Millisecond
+	// lostPause is when to order again after an order without an answer, and
+	// maxLostPause when at the latest: after the second such order in a row the
+	// pause doubles with each.
+	lostPause    = 50 * time.Millisecond
+	maxLostPause = 800 * time.Millisecond
+	// maxDoublings keeps the pause within its type.
+	maxDoublings = 8
 	// conflictPause is when to order again after a conflict.
 	conflictPause = 150 * time.Millisecond
 	// maxConflicts in a row make the planner read the count of orders again.
@@ -132,6 +137,8 @@
 	// conflicts counts those in a row, checks those of the change under way.
 	conflicts int
 	checks    int
+	// unanswered counts the calls in a row that this engine didn't answer.
+	unanswered int
 }
 
 // Planner plans the changes of one model's engines. It is not safe for
@@ -156,7 +163,7 @@
 // Plan returns the steps that are due for the engines to reach a version.
 func (p *Planner) Plan(now time.Duration, version int64, engines []Engine) []Step {
 	p.forget(engines)
-	atOnce := (len(engines) + loadingDivisor - 1) / loadingDivisor
+	atOnce := (p.answering(engines) + loadingDivisor - 1) / loadingDivisor
 	behind, away, busy := p.sort(now, version, engines)
 	slices.SortStableFunc(behind, func(a, b *Engine) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Running, b.Running))
@@ -174,6 +181,17 @@
 	return append(steps, p.orders(now, version, engines, busy, atOnce)...)
 }
 
+// answering counts the engines that answer orders, as far as is known.
+func (p *Planner) answering(engines []Engine) int {
+	count := 0
+	for i := range engines {
+		if p.state(&engines[i]).unanswered <= 1 {
+			count++
+		}
+	}
+	return count
+}
+
 // sort returns the engines whose change has not begun, the number of those that
 // are away for theirs, and of those the number that load now.
 func (p *Planner) sort(now time.Duration, version int64, engines []Engine) (behind []*Engine, away, busy int) {
@@ -185,6 +203,8 @@
 			continue
 		}
 		switch {
+		case state.phase == idle && state.unanswered > 0 && now < state.nextAt:
+			continue
 		case state.phase == idle:
 			behind = append(behind, e)
 			continue
@@ -252,6 +272,9 @@
 		return false
 	}
 	first := state.phase == sending
+	if reply != Lost && reply != Invalid {
+		state.unanswered = 0
+	}
 	switch reply {
 	case Accepted:
 		p.accepted(now, state, first)
@@ -261,14 +284,29 @@
 		return true
 	case Conflict:
 		p.conflicted(now, state, first)
-	case Lost:
-		state.phase, state.nextAt = free, now+lostPause
+	case Lost, Invalid:
+		unanswered(now, state)
 	default:
 		state.phase, state.nextAt = free, now+conflictPause
 	}
 	return false
 }
 
+// unanswered notes that an engine didn't answer a call, or that another one
+// answers at its address. After the second time in a row it waits for its next
+// call without a place among the engines that may be away.
+func unanswered(now time.Duration, state *progress) {
+	state.unanswered++
+	state.phase, state.nextAt = free, now+lostPause
+	if state.unanswered == 1 {
+		state.countAt = state.nextAt
+		return
+	}
+	state.phase = idle
+	state.nextAt = now + min(maxLostPause, lostPause<<min(state.unanswered, maxDoublings))
+	state.countAt = state.nextAt
+}
+
 // accepted notes that a change is under way. An engine counts an order that is
 // sent again during its change only once.
 func (p *Planner) accepted(now time.Duration, state *progress, first bool) {
@@ -324,10 +362,17 @@
 	}
 }
 
+// NotCounted notes that an engine didn't tell its count of orders.
+func (p *Planner) NotCounted(now time.Duration, boot fleet.Boot) {
+	if state, ok := p.engines[boot]; ok {
+		unanswered(now, state)
+	}
+}
+
 // Counted takes an engine's own count of accepted orders, as read from it.
 func (p *Planner) Counted(boot fleet.Boot, orders int64) {
 	if state, ok := p.engines[boot]; ok {
-		state.orders, state.known = orders, true
+		state.orders, state.known, state.unanswered = orders, true, 0
 	}
 }
 
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -24,6 +24,9 @@
 	busy     bool
 	retain   bool
 	loads    int
+	// dead engines answer nothing; asked counts what they were sent.
+	dead  bool
+	asked int
 }
 
 const loadTime = 210 * time.Millisecond
@@ -38,6 +41,9 @@
 func (e *fakeEngine) order(now time.Duration, step Step) Reply {
 	e.tick(now)
 	switch {
+	case e.dead:
+		e.asked++
+		return Lost
 	case e.busy && step.Retain != e.retain:
 		return Conflict
 	case e.busy && step.Version == e.target:
@@ -122,6 +128,11 @@
 		case Free:
 			e.runsEnd = now + w.runs(i)
 		case Count:
+			if e.dead {
+				e.asked++
+				w.planner.NotCounted(now, step.Boot)
+				continue
+			}
 			w.planner.Counted(step.Boot, e.orders)
 		case Order:
 			if w.planner.Replied(now, step, e.order(now, step)) {
@@ -178,6 +189,51 @@
 	})
 }
 
+// TestCrashDuringWave is the pattern of many engines that crash while new
+// weights are due: those that answer nothing hold up no other.
+func TestCrashDuringWave(t *testing.T) {
+	const engines, dead = 45, 14
+	for name, crash := range map[string]time.Duration{"before the wave": 0, "in its midst": 500 * time.Millisecond} {
+		Convey("With a third of the engines crashed "+name+", the others change within three seconds", t, func() {
+			w := newWave(engines, func(int) time.Duration { return 100 * time.Millisecond })
+			for _, e := range w.engines {
+				// Only the crashed ones run nothing.
+				e.runsEnd = time.Hour
+			}
+			const step = 10 * time.Millisecond
+			for now := time.Duration(0); now < 3*time.Second; now += step {
+				if now == 0 {
+					w.history.Name(now, 2)
+				}
+				for i := 0; i < dead && now >= crash; i++ {
+					w.engines[3*i].dead, w.engines[3*i].runsEnd = true, 0
+				}
+				w.tick(now)
+			}
+			asked := 0
+			for _, e := range w.engines {
+				if !e.dead {
+					So(e.version, ShouldEqual, 2)
+				}
+				asked += e.asked
+			}
+			// Once a second each, and some to find out.
+			So(asked, ShouldBeLessThanOrEqualTo, 8*dead)
+		})
+	}
+	Convey("An engine that answers again is changed within a second", t, func() {
+		w := newWave(6, func(int) time.Duration { return 0 })
+		w.engines[0].dead = true
+		w.play(4*time.Second, map[time.Duration]int64{0: 2})
+		So(w.upToDate(), ShouldEqual, 5)
+		w.engines[0].dead = false
+		for now := 4 * time.Second; now < 5500*time.Millisecond; now += 10 * time.Millisecond {
+			w.tick(now)
+		}
+		So(w.upToDate(), ShouldEqual, 6)
+	})
+}
+
 func TestLostOrders(t *testing.T) {
 	Convey("An order without an answer is sent again with the same expected count", t, func() {
 		p := NewPlanner(deadline)
