--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -45,6 +45,9 @@
 	// Tolerance is the longest expected wait at which the request is still of
 	// use to its caller.
 	Tolerance time.Duration
+
+	// id is what sharedID returns, once it was asked for.
+	id string
 }
 
 // Choice is the target for a request and why.
@@ -164,11 +167,32 @@
 	b.emptied = fn
 }
 
-// NameVersion notes the newest weights version of a model.
-func (b *Balancer) NameVersion(now time.Duration, model string, version int64) {
+// NameVersion notes the version named for a model's weights and says whether it
+// is newer than those before.
+func (b *Balancer) NameVersion(now time.Duration, model string, version int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.history(model).Name(now, version)
+}
+
+// Named returns the newest version named for each model.
+func (b *Balancer) Named() map[string]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	named := make(map[string]int64, len(b.rollout))
+	for model, history := range b.rollout {
+		if newest := history.Newest(); newest > 0 {
+			named[model] = newest
+		}
+	}
+	return named
+}
+
+// Behind returns for how long a version of a model has been out of date.
+func (b *Balancer) Behind(now time.Duration, model string, version int64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.history(model).Name(now, version)
+	return b.history(model).Behind(now, version)
 }
 
 func (b *Balancer) history(model string) *fleet.VersionHistory {
@@ -232,11 +256,13 @@
 
 // sharedID names the shared part within a salt.
 func (r *Request) sharedID() string {
-	id := ""
+	if r.id != "" {
+		return r.id
+	}
 	for i := range r.Shared {
-		id += r.Shared[i].ID + ","
+		r.id += r.Shared[i].ID + ","
 	}
-	return id
+	return r.id
 }
 
 func (r *Request) sharedTokens() int64 {
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -109,8 +109,8 @@
 
 // nameWeights notes the version named for a model; source says who told.
 func (e *Entry) nameWeights(model string, version int64, source string) {
-	if e.rollouts.name(model, version) {
-		e.balancer.NameVersion(e.now(), model, version)
+	if e.balancer.NameVersion(e.now(), model, version) {
+		e.rollouts.poke()
 		e.log.Log(eventlog.WeightsNamed, "model", model, "version", version, "source", source)
 	}
 }
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -19,7 +19,7 @@
 	if config := e.config.Load(); config != nil {
 		m.Config = config.Version
 	}
-	m.Named = e.rollouts.versions()
+	m.Named = e.balancer.Named()
 	if fence, ok := e.lease.leading(); ok {
 		m.Fence = fence
 		m.Engines = e.rollouts.notices()
--- a/pkg/entry/rollouts.go
+++ b/pkg/entry/rollouts.go
@@ -27,7 +27,6 @@
 	e *Entry
 
 	mu       sync.Mutex
-	named    map[string]*fleet.VersionHistory
 	planners map[string]*rollout.Planner
 	fence    uint64
 	recent   map[fleet.Boot]*notice
@@ -45,43 +44,10 @@
 
 func newRollouts(e *Entry) *rollouts {
 	return &rollouts{
-		e: e, named: map[string]*fleet.VersionHistory{}, planners: map[string]*rollout.Planner{},
-		recent: map[fleet.Boot]*notice{}, wake: make(chan struct{}, 1),
+		e: e, planners: map[string]*rollout.Planner{}, recent: map[fleet.Boot]*notice{}, wake: make(chan struct{}, 1),
 	}
 }
 
-// name notes the version named for a model and says whether it is newer.
-func (r *rollouts) name(model string, version int64) bool {
-	r.mu.Lock()
-	history, ok := r.named[model]
-	if !ok {
-		history = &fleet.VersionHistory{}
-		r.named[model] = history
-	}
-	newer := history.Name(r.e.now(), version)
-	r.mu.Unlock()
-	r.poke()
-	return newer
-}
-
-// versions returns the newest version named for each model.
-func (r *rollouts) versions() map[string]int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	newest := make(map[string]int64, len(r.named))
-	for model, history := range r.named {
-		newest[model] = history.Newest()
-	}
-	return newest
-}
-
-// behind returns for how long a version of a model has been out of date.
-func (r *rollouts) behind(now time.Duration, model string, version int64) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.named[model].Behind(now, version)
-}
-
 func (r *rollouts) poke() {
 	select {
 	case r.wake <- struct{}{}:
@@ -114,7 +80,7 @@
 	}
 	r.mu.Unlock()
 	unfinished := false
-	for model, version := range r.versions() {
+	for model, version := range r.e.balancer.Named() {
 		if r.planModel(ctx, fence, model, version) {
 			unfinished = true
 		}
@@ -135,7 +101,7 @@
 		}
 		has := r.e.balancer.Version(t, model)
 		engine := rollout.Engine{
-			Boot: t.Boot(), Version: has, Behind: r.behind(now, model, has),
+			Boot: t.Boot(), Version: has, Behind: r.e.balancer.Behind(now, model, has),
 			Running: r.e.balancer.Running(t.Boot()), Unstarted: r.e.balancer.Unstarted(t.Boot()),
 		}
 		unfinished = unfinished || engine.Version < version
