--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -68,6 +68,9 @@
 type Backend interface {
 	Complete(ctx context.Context, completion Completion, sink Sink) *outcome.Refusal
 	Call(ctx context.Context, call ServiceCall) (ServiceAnswer, *outcome.Refusal)
+	// CheckKey refuses a key that no client account holds. It accepts an empty
+	// one, which open routes allow.
+	CheckKey(token string) *outcome.Refusal
 	// Models lists the models that the key may use.
 	Models(token string) ([]string, *outcome.Refusal)
 	// Ready says whether requests can be served.
--- a/pkg/caller/handler.go
+++ b/pkg/caller/handler.go
@@ -148,12 +148,20 @@
 	writeServiceAnswer(w, answer)
 }
 
-// readBody reads a body within its bounds of size and time.
+// readBody reads a body within its bounds of size and time. Bodies under an
+// unknown key are not read.
 func (h *handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *outcome.Refusal) {
+	control := http.NewResponseController(w)
+	if refusal := h.backend.CheckKey(bearerToken(r.Header)); refusal != nil {
+		// Otherwise the server would wait for the body, before the answer and
+		// after it.
+		w.Header().Set("Connection", "close")
+		_ = control.SetReadDeadline(time.Now())
+		return nil, refusal
+	}
 	if r.ContentLength > h.options.MaxBodyBytes {
 		return nil, outcome.NotRun(outcome.CodeBodyTooLarge, "request body is too large")
 	}
-	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(h.options.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.MaxBodyBytes))
 	if err != nil {
--- a/pkg/caller/leaving_test.go
+++ b/pkg/caller/leaving_test.go
@@ -47,6 +47,12 @@
 func (s *stubBackend) Call(context.Context, ServiceCall) (ServiceAnswer, *outcome.Refusal) {
 	return ServiceAnswer{}, outcome.NotRun(outcome.CodeUnknownRoute, "no route")
 }
+func (s *stubBackend) CheckKey(token string) *outcome.Refusal {
+	if token != "" && token != "good-key" {
+		return outcome.NotRun(outcome.CodeUnauthorized, "the key is missing, unknown or withdrawn")
+	}
+	return nil
+}
 func (s *stubBackend) Models(string) ([]string, *outcome.Refusal) { return []string{"m"}, nil }
 func (s *stubBackend) Ready() bool                                { return true }
 
--- a/pkg/router/plan.go
+++ b/pkg/router/plan.go
@@ -29,13 +29,9 @@
 // authorize finds the key's owner and checks that it may use the route. Open
 // routes need no key, but a key that comes must be valid.
 func authorize(index *bundle.Index, token string, route *bundle.Route) (bundle.KeyOwner, *outcome.Refusal) {
-	var owner bundle.KeyOwner
-	if token != "" {
-		found, ok := index.Key(token)
-		if !ok {
-			return owner, unauthorized()
-		}
-		owner = found
+	owner, refusal := keyOwner(index, token)
+	if refusal != nil {
+		return owner, refusal
 	}
 	if owner.Account == "" && !route.Open {
 		return owner, unauthorized()
@@ -46,6 +42,18 @@
 	return owner, nil
 }
 
+// keyOwner returns the owner of a key; the empty key has none.
+func keyOwner(index *bundle.Index, token string) (bundle.KeyOwner, *outcome.Refusal) {
+	if token == "" {
+		return bundle.KeyOwner{}, nil
+	}
+	owner, ok := index.Key(token)
+	if !ok {
+		return bundle.KeyOwner{}, unauthorized()
+	}
+	return owner, nil
+}
+
 // plan checks a completion against the bundle in force.
 func (r *Router) plan(request caller.Completion) (*plan, *outcome.Refusal) {
 	snapshot := r.Bundles.Current()
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -102,24 +102,30 @@
 	return !r.leaving.Load() && r.Bundles.Current() != nil && len(r.Directory.Targets()) > 0
 }
 
+// CheckKey implements caller.Backend.
+func (r *Router) CheckKey(token string) *outcome.Refusal {
+	snapshot := r.Bundles.Current()
+	if snapshot == nil {
+		return notReady()
+	}
+	_, refusal := keyOwner(snapshot.Index, token)
+	return refusal
+}
+
 // Models implements caller.Backend.
 func (r *Router) Models(token string) ([]string, *outcome.Refusal) {
 	snapshot := r.Bundles.Current()
 	if snapshot == nil {
 		return nil, notReady()
 	}
-	var account string
-	if token != "" {
-		owner, ok := snapshot.Index.Key(token)
-		if !ok {
-			return nil, unauthorized()
-		}
-		account = owner.Account
+	owner, refusal := keyOwner(snapshot.Index, token)
+	if refusal != nil {
+		return nil, refusal
 	}
 	var names []string
 	for i := range snapshot.Bundle.Routes {
 		route := &snapshot.Bundle.Routes[i]
-		if route.Kind == bundle.RouteModel && snapshot.Index.Allowed(route, account) {
+		if route.Kind == bundle.RouteModel && snapshot.Index.Allowed(route, owner.Account) {
 			names = append(names, route.Model)
 		}
 	}
