--- a/pkg/peer/conn.go
+++ b/pkg/peer/conn.go
@@ -58,7 +58,7 @@
 	c.mu.Unlock()
 	if first {
 		// The call's own end closes it too; an error has no further meaning.
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	if spoilt {
 		return closedChannel
