Let the time to a peer's silence grow with the time between its messages

From 41 processes on, a process sends a message less often than each 500 ms, the time after which its peers took it for silent; all peers then counted as silent in turn, each process kept to its even share of the rates, and what one account sent unevenly was refused.

--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/gossip"
 	"github.com/baobabhub/baobabhub/pkg/kv"
-	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
 
 // memberRecord is what a process writes of itself in the store.
@@ -93,7 +93,7 @@
 }
 
 func (m *members) publish(names []string, revision uint64) {
-	m.e.limiter.SetMembers(m.e.now(), names)
+	m.e.limiter.SetMembers(m.e.now(), names, gossip.SilentAfter(len(names)))
 	m.e.log.Log(eventlog.MembersChanged, "members", strings.Join(names, ","), "revision", revision)
 }
 
@@ -111,7 +111,7 @@
 	if !ok {
 		return
 	}
-	if p.silent || m.e.now()-p.heardAt > tokenrate.SilentAfter {
+	if p.silent || m.e.now()-p.heardAt > gossip.SilentAfter(len(m.byVM)) {
 		m.forget(vm)
 		return
 	}
@@ -205,7 +205,7 @@
 	now := m.e.now()
 	forgotten := false
 	for vm, p := range m.byVM {
-		if p.silent || now-p.heardAt <= 2*tokenrate.SilentAfter {
+		if p.silent || now-p.heardAt <= 2*gossip.SilentAfter(len(m.byVM)) {
 			continue
 		}
 		p.silent = true
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -24,6 +24,8 @@
 	basePeriod = 100 * time.Millisecond
 	// peersAtBasePeriod is the number of peers up to which basePeriod holds.
 	peersAtBasePeriod = 8
+	// minSilence is the least time after which a peer counts as silent.
+	minSilence = 500 * time.Millisecond
 )
 
 // Config joins what a Gossip is made of.
@@ -98,6 +100,12 @@
 	return basePeriod * time.Duration(max(peersAtBasePeriod, peers)) / peersAtBasePeriod
 }
 
+// SilentAfter is how long one of so many peers may say nothing before it counts
+// as silent: more than the time between two of its messages.
+func SilentAfter(peers int) time.Duration {
+	return max(minSilence, period(peers)*5/3)
+}
+
 func (g *Gossip) send(peers []string) {
 	if len(peers) == 0 {
 		return
--- a/pkg/tokenrate/tokenrate.go
+++ b/pkg/tokenrate/tokenrate.go
@@ -17,15 +17,14 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// SilentAfter is how long a peer may say nothing before its use is assumed.
-const SilentAfter = 500 * time.Millisecond
-
 // Limiter holds the buckets of all accounts. It is safe for concurrent use.
 type Limiter struct {
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	// members are the peers that share the limits, this process left out.
 	members map[string]*member
+	// silentAfter is how long a peer may say nothing before its use is assumed.
+	silentAfter time.Duration
 	// trusted says that new buckets start full: nobody has used any yet.
 	trusted bool
 }
@@ -134,7 +133,7 @@
 func (l *Limiter) ownShare(now time.Duration) float64 {
 	silent := 0
 	for _, m := range l.members {
-		if !m.heard || now-m.heardAt > SilentAfter {
+		if !m.heard || now-m.heardAt > l.silentAfter {
 			silent++
 		}
 	}
@@ -142,13 +141,15 @@
 	return float64(all-silent) / float64(all)
 }
 
-// SetMembers sets the peers that share the limits.
-func (l *Limiter) SetMembers(now time.Duration, names []string) {
+// SetMembers sets the peers that share the limits, and how long one may say
+// nothing before its use is assumed.
+func (l *Limiter) SetMembers(now time.Duration, names []string, silentAfter time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, b := range l.buckets {
 		l.advance(now, b)
 	}
+	l.silentAfter = silentAfter
 	next := make(map[string]*member, len(names))
 	for _, name := range names {
 		m, ok := l.members[name]
--- a/pkg/tokenrate/tokenrate_test.go
+++ b/pkg/tokenrate/tokenrate_test.go
@@ -12,6 +12,9 @@
 
 var account = &fleet.Account{Name: "a", TokensPerSecond: 1000, Burst: 1000}
 
+// silentAfter is how long a peer of these tests may say nothing.
+const silentAfter = 500 * time.Millisecond
+
 func lookup(name string) (*fleet.Account, bool) { return account, name == account.Name }
 
 func TestTake(t *testing.T) {
@@ -40,7 +43,7 @@
 	})
 	Convey("A restarted process starts empty and takes the level that a peer tells", t, func() {
 		l := New(false)
-		l.SetMembers(0, []string{"peer"})
+		l.SetMembers(0, []string{"peer"}, silentAfter)
 		So(l.Take(0, account, 100).Admitted, ShouldBeFalse)
 		l.Heard(10*time.Millisecond, "peer", "b", map[string]Usage{"a": {Admitted: 5, Level: 700}}, lookup)
 		So(l.Take(10*time.Millisecond, account, 600).Admitted, ShouldBeTrue)
@@ -68,7 +71,7 @@
 				peers = append(peers, name)
 			}
 		}
-		l.SetMembers(0, peers)
+		l.SetMembers(0, peers, silentAfter)
 	}
 	return f
 }
@@ -145,7 +148,7 @@
 		const windowLength = 8 * time.Second
 		bound := account.TokensPerSecond*windowLength.Seconds() + account.Burst
 		// Before a message arrives, each process admits what it sees offered.
-		lag := float64(n) * requestTokens * float64(gossipEvery+int(SilentAfter/step))
+		lag := float64(n) * requestTokens * float64(gossipEvery+int(silentAfter/step))
 		if most := admitted.most(windowLength); most > bound+lag+account.Burst {
 			t.Fatalf("%d processes admitted %.0f tokens in a window of %v, bound %.0f", n, most, windowLength, bound)
 		}
