--- a/pkg/kv/follower.go
+++ b/pkg/kv/follower.go
@@ -81,6 +81,10 @@
 
 // interruptible is step, and says whether Hurry ended it.
 func (f *Follower) interruptible(ctx context.Context, listed bool, revision uint64) (next uint64, hurried bool, err error) {
+	if f.Hurry == nil {
+		next, err = f.step(ctx, listed, revision)
+		return next, false, err
+	}
 	stepCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan struct{})
