One place for the stand-ins' wire names and configuration

test/soak spelled the platform's header names and the test configuration a second time; both now come from platform/platformfake.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/baobabhub/baobabhub/platform/platformfake"
 )
 
 const (
@@ -74,14 +76,14 @@
 	// Without GetBody the client library never sends the request again.
 	req.GetBody = nil
 	req.Host = "h"
-	req.Header.Set(headerID, id)
-	req.Header.Set(headerKey, key)
+	req.Header.Set(platformfake.HeaderRequestID, id)
+	req.Header.Set(platformfake.HeaderKey, key)
 	req.Header.Set("X-Body", content)
-	req.Header.Set("X-Baobabhub-Hold", "forged")
+	req.Header.Set(platformfake.HeaderHold, "forged")
 	if route == "stream" || route == "resume" {
-		req.Header.Set("X-Baobabhub-Model", "m")
-		req.Header.Set("X-Baobabhub-Tokens", "300,10")
-		req.Header.Set("X-Baobabhub-Prompt-Prefix", "a:200,"+id+":100")
+		req.Header.Set(platformfake.HeaderModel, "m")
+		req.Header.Set(platformfake.HeaderTokens, "300,10")
+		req.Header.Set(platformfake.HeaderPromptPrefix, "a:200,"+id+":100")
 	}
 	began := time.Now()
 	c.judge(p, id, route, content, began, c.exchange(req))
@@ -139,7 +141,7 @@
 			c.world.ledger.problem("%s: %d bytes are no start of the stream", name, len(r.body))
 		}
 	case r.status == http.StatusOK:
-		if r.body != expected || r.header.Get("X-Baobabhub-Stamp") == "" {
+		if r.body != expected || r.header.Get(platformfake.HeaderStamp) == "" {
 			c.world.ledger.problem("%s: wrong answer of %d bytes", name, len(r.body))
 		}
 	case r.status == http.StatusServiceUnavailable, r.status == http.StatusTooManyRequests:
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -13,17 +13,6 @@
 	"github.com/baobabhub/baobabhub/platform/platformfake"
 )
 
-// Request headers of the platform that the stand-ins look at.
-const (
-	headerID       = "X-Baobabhub-Request-Id"
-	headerKey      = "X-Api-Key"
-	headerAccount  = "X-Baobabhub-Tenant"
-	headerExpected = "X-Baobabhub-Expect-Instance"
-	headerInstance = "X-Baobabhub-Instance"
-	headerSalt     = "X-Baobabhub-Cache-Salt"
-	headerDeadline = "X-Baobabhub-Deadline-Ms"
-)
-
 const (
 	// streamEvents is the number of events of a whole stream.
 	streamEvents = 12
@@ -115,21 +104,21 @@
 func (l *ledger) arrived(target string, h http.Header) behaviour {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	id := h.Get(headerID)
+	id := h.Get(platformfake.HeaderRequestID)
 	l.arrivals[id]++
-	for _, name := range []string{headerKey, "X-Baobabhub-Hold", "Kv-From"} {
+	for _, name := range []string{platformfake.HeaderKey, platformfake.HeaderHold, platformfake.HeaderFrom} {
 		if h.Get(name) != "" {
 			l.problems = append(l.problems, fmt.Sprintf("request %s arrived with %s", id, name))
 		}
 	}
-	if ms, err := strconv.Atoi(h.Get(headerDeadline)); err != nil || ms <= 0 {
-		l.problems = append(l.problems, fmt.Sprintf("request %s arrived with deadline %q", id, h.Get(headerDeadline)))
+	if ms, err := strconv.Atoi(h.Get(platformfake.HeaderDeadline)); err != nil || ms <= 0 {
+		l.problems = append(l.problems, fmt.Sprintf("request %s arrived with deadline %q", id, h.Get(platformfake.HeaderDeadline)))
 	}
-	account := h.Get(headerAccount)
+	account := h.Get(platformfake.HeaderAccount)
 	if account != "t1" && account != "t2" {
 		l.problems = append(l.problems, fmt.Sprintf("request %s arrived for account %q", id, account))
 	}
-	if salt := h.Get(headerSalt); salt != "" {
+	if salt := h.Get(platformfake.HeaderSalt); salt != "" {
 		if l.salts[salt] == nil {
 			l.salts[salt] = map[string]bool{}
 		}
@@ -152,18 +141,18 @@
 // answer is a target's handler.
 func (l *ledger) answer(t *platformfake.Target) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get(headerID)
+		id := r.Header.Get(platformfake.HeaderRequestID)
 		b := l.arrived(t.ID, r.Header)
-		w.Header().Set(headerInstance, t.ID)
+		w.Header().Set(platformfake.HeaderInstance, t.ID)
 		switch {
-		case r.Header.Get(headerExpected) != t.ID:
+		case r.Header.Get(platformfake.HeaderExpected) != t.ID:
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		case b == shedding:
 			t.Shed(w)
 			return
 		}
-		l.ran(id, r.Header.Get(headerAccount))
+		l.ran(id, r.Header.Get(platformfake.HeaderAccount))
 		if b == slow {
 			time.Sleep(time.Duration(l.pause()) * time.Millisecond)
 		}
@@ -180,7 +169,7 @@
 		}
 		if b == misdelivering {
 			id = "other"
-			w.Header().Set(headerID, id)
+			w.Header().Set(platformfake.HeaderRequestID, id)
 		}
 		text := wholeAnswer(id, r.Header.Get("X-Body"))
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -18,17 +18,6 @@
 	"github.com/baobabhub/baobabhub/platform/platformfake"
 )
 
-// configuration has a generous account t1 and a narrow, isolated one, t2.
-const configuration = `{"version":%d,"routes":[
- {"name":"once","host":"h","prefix":"/once/","kind":"non_idempotent","timeout_ms":1500,"slo_ms":300,"priority":2,"service":"s","attempts":1},
- {"name":"safe","host":"h","prefix":"/safe/","kind":"idempotent","timeout_ms":1500,"slo_ms":300,"priority":2,"service":"s","attempts":2},
- {"name":"stream","host":"h","prefix":"/stream/","kind":"stream","timeout_ms":4000,"slo_ms":300,"priority":1,"service":"s","attempts":1},
- {"name":"resume","host":"h","prefix":"/resume/","kind":"stream","timeout_ms":4000,"slo_ms":300,"priority":0,"service":"s","attempts":2,"resumable":true}],
- "services":[{"name":"s","health_path":"/health","max_conns":200,"engine":{"slots":8,"kv_capacity":100000,"models":[{"name":"m"}]}}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
- "tenants":[{"name":"t1","api_keys":["key-1"],"unit":"tokens","plain_tokens":200,"rate_per_s":1000000,"burst":1000000},
-  {"name":"t2","api_keys":["key-2"],"unit":"tokens","plain_tokens":200,"rate_per_s":%d,"burst":%d,"isolated":true}]}`
-
 const (
 	narrowRate  = 400
 	narrowBurst = 1000
@@ -197,7 +186,9 @@
 }
 
 func (w *world) configure() {
-	w.store.Put("op/config", fmt.Sprintf(configuration, w.version, narrowRate, narrowBurst))
+	w.store.Configure(platformfake.Configuration{
+		Version: w.version, MaxConns: 200, NarrowRate: narrowRate, NarrowBurst: narrowBurst,
+	})
 }
 
 func (w *world) announce(target int, state string) {
