Fewer calls to the store: longer watches, rarer reads of the targets

The group's hub now reads the targets at half the drain bound, the others at 0.8 of it, and draining targets are passed on by messages. The members are read at most every 2 s, and again after a message from an unknown process. Checks of a slow weights update double their interval.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -83,6 +83,13 @@
 	// StoreAddress is the address of the cache store for the shared prefix;
 	// empty if there is none.
 	StoreAddress string
+	// Prefix identifies the shared prefix under its salt; 0 if there is none.
+	Prefix uint64
+	// Primary reports whether the target is the primary candidate for the prefix.
+	Primary bool
+	// RecomputedTokens is the number of shared tokens that the target has to
+	// process although another one has processed them.
+	RecomputedTokens int64
 	// Candidates is the number of targets that passed the filter.
 	Candidates int
 	// LoadAge is the age of the target's latest load report; negative if
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -76,6 +76,7 @@
 	work, recomputed := float64(0), float64(0)
 	if req.Model != "" {
 		work, recomputed = b.prefillWork(now, req, candidates, index, primary, &choice)
+		choice.Primary, choice.RecomputedTokens = index == primary, int64(recomputed)
 	}
 	peerLoad := b.peerLoad(c.target.ID)
 	choice.PrefillTokens = work
@@ -119,7 +120,8 @@
 	if sharedTokens == 0 {
 		return unsharedTokens, 0
 	}
-	prefix, ok := b.prefixes.Peek(prefixKey(choice.CacheSalt, req.sharedID()))
+	choice.Prefix = prefixKey(choice.CacheSalt, req.sharedID())
+	prefix, ok := b.prefixes.Peek(choice.Prefix)
 	storedTokens := b.storedTokens(now, req, prefix, choice)
 	choice.SaveToStore = choice.StoreAddress != "" && storedTokens < sharedTokens && prefix.shouldSave(now, unsharedTokens, sharedTokens)
 	if storedTokens > 0 {
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -127,7 +127,7 @@
 	monitor := &feedMonitor{entry: e, feed: "targets"}
 	follower := kv.Follower{
 		Store: e.platform.Store, Prefix: e.platform.Keys.TargetsPrefix,
-		WatchTimeout: func() time.Duration { return targetWatchTimeout }, MinInterval: e.settings.DrainBound / targetWatchDivisor,
+		WatchTimeout: func() time.Duration { return targetWatchTimeout }, MinInterval: e.targetWatchInterval,
 		OnUpdate: e.applyTargetUpdate,
 		OnResult: func(err error) {
 			monitor.record(err)
@@ -177,6 +177,9 @@
 // putTarget replaces a target's entry. It logs the target if it is new, has
 // restarted, has changed its address or has started or stopped draining.
 func (e *Entry) putTarget(target fleet.Target, revision uint64) {
+	if target.Draining {
+		e.leaving.tellPeers(e.uptime(), target.Boot())
+	}
 	old, listed := e.directory.Get(target.ID)
 	if !listed || old.Draining != target.Draining || old.StartUnixMS != target.StartUnixMS || old.Address != target.Address {
 		e.logTarget(&target, revision)
--- a/pkg/entry/leaving.go
+++ b/pkg/entry/leaving.go
@@ -13,6 +13,11 @@
 // it later.
 const leavingNewsTTL = 5 * time.Second
 
+// leavingMemoryTTL is the time after which a process forgets that it has told its
+// peers of a leaving target. It exceeds the time for which the target's entry
+// remains in the registry.
+const leavingMemoryTTL = time.Minute
+
 // leavingTargets holds the runs of targets whose responses to this process or a
 // peer have recently announced that they are leaving.
 type leavingTargets struct {
@@ -41,22 +46,32 @@
 	if !l.entry.directory.MarkLeaving(now, boot) {
 		return false
 	}
-	l.mu.Lock()
-	l.learnedAt[boot] = now
-	l.mu.Unlock()
+	l.tellPeers(now, boot)
 	l.entry.log.Log(eventlog.TargetLeaving, "target", boot.ID, "born", boot.StartUnixMS, "source", source)
 	return true
 }
 
+// tellPeers includes a leaving target in the messages to peers for leavingNewsTTL,
+// unless it was included before.
+func (l *leavingTargets) tellPeers(now time.Duration, boot fleet.Boot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, told := l.learnedAt[boot]; !told {
+		l.learnedAt[boot] = now
+	}
+}
+
 // recent returns the runs that this process has learned of within leavingNewsTTL,
-// and forgets older ones.
+// and forgets the oldest ones.
 func (l *leavingTargets) recent(now time.Duration) []fleet.Boot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var boots []fleet.Boot
 	for boot, at := range l.learnedAt {
-		if now-at > leavingNewsTTL {
+		if now-at > leavingMemoryTTL {
 			delete(l.learnedAt, boot)
+		}
+		if now-at > leavingNewsTTL {
 			continue
 		}
 		boots = append(boots, boot)
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -23,6 +23,11 @@
 // larger VMs.
 const leaderYieldTime = time.Second
 
+// unknownSenderRelistInterval is the minimum interval between two lists of the
+// members because of messages from unknown processes. It exceeds the time that a
+// new process's registration takes to arrive by the watch.
+const unknownSenderRelistInterval = 8 * time.Second
+
 // memberRecord is an entry process's record in the store.
 type memberRecord struct {
 	VM      string `json:"vm"`
@@ -72,6 +77,10 @@
 	groups   *groupTable
 	// loaded is set once the list has been read from the store.
 	loaded bool
+	// relist requests an immediate list of the members; relistRequestedAt is the
+	// time of the latest request.
+	relist            chan struct{}
+	relistRequestedAt time.Duration
 	// updated is signalled after each update, so that a change of the leader is
 	// handled immediately.
 	updated chan struct{}
@@ -92,7 +101,7 @@
 }
 
 func newMemberList(entry *Entry) *memberList {
-	m := &memberList{entry: entry, byVM: map[string]*peer{}, groups: newGroupTable(entry), updated: make(chan struct{}, 1)}
+	m := &memberList{entry: entry, byVM: map[string]*peer{}, groups: newGroupTable(entry), updated: make(chan struct{}, 1), relist: make(chan struct{}, 1)}
 	m.topology = gossip.NewTopology(m.self(), nil)
 	return m
 }
@@ -100,7 +109,8 @@
 func (m *memberList) follow(ctx context.Context) {
 	monitor := &feedMonitor{entry: m.entry, feed: "members"}
 	follower := kv.Follower{
-		Store: m.entry.platform.Store, Prefix: m.entry.platform.Keys.SystemPrefix, WatchTimeout: m.memberWatchTimeout, MinInterval: memberWatchInterval,
+		Store: m.entry.platform.Store, Prefix: m.entry.platform.Keys.SystemPrefix, WatchTimeout: m.memberWatchTimeout, MinInterval: func() time.Duration { return memberWatchInterval },
+		Relist: m.relist,
 		OnUpdate: m.applyUpdate, OnResult: monitor.record,
 	}
 	follower.Run(ctx)
@@ -284,12 +294,24 @@
 func (m *memberList) hubAddresses() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.topology.Hub(m.reachable).VM != m.entry.settings.VM {
+	if !m.leadsGroup() {
 		return nil
 	}
 	return addressesOf(m.topology.HubPeers())
 }
 
+// isHub reports whether this process is the hub of its group.
+func (m *memberList) isHub() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leadsGroup()
+}
+
+// leadsGroup is isHub for a caller that holds m.mu.
+func (m *memberList) leadsGroup() bool {
+	return m.topology.Hub(m.reachable).VM == m.entry.settings.VM
+}
+
 func addressesOf(members []gossip.Member) []netip.AddrPort {
 	list := make([]netip.AddrPort, 0, len(members))
 	for i := range members {
@@ -371,6 +393,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, ok := m.byVM[vm]; !ok {
+		m.requestRelist()
 		return false, false
 	}
 	for _, peer := range m.topology.Ranked[m.topology.Own] {
@@ -381,6 +404,21 @@
 	return true, false
 }
 
+// requestRelist lists the members again after a message from a process that is
+// not among them, since the watch may have missed its registration. The caller
+// must hold m.mu.
+func (m *memberList) requestRelist() {
+	now := m.entry.uptime()
+	if !m.loaded || now-m.relistRequestedAt < unknownSenderRelistInterval {
+		return
+	}
+	m.relistRequestedAt = now
+	select {
+	case m.relist <- struct{}{}:
+	default:
+	}
+}
+
 // recordMessage records the arrival of a message from a peer of the own group.
 func (m *memberList) recordMessage(vm, boot string) {
 	m.mu.Lock()
--- a/pkg/entry/pacing.go
+++ b/pkg/entry/pacing.go
@@ -15,20 +15,32 @@
 	// watchExtensionPerPeer is the time by which each heard peer extends the
 	// longest watch call, up to maxWatchTimeout.
 	watchExtensionPerPeer = 100 * time.Millisecond
-	maxWatchTimeout       = 10 * time.Second
+	maxWatchTimeout       = 25 * time.Second
 	// memberWatchInterval is the minimum interval between the starts of two calls
 	// on the keys that the entry processes write. It batches the changes of a
 	// fleet whose processes all start at the same time.
-	memberWatchInterval = 500 * time.Millisecond
+	memberWatchInterval = 2 * time.Second
 	// targetWatchTimeout is the duration of one watch call on the target entries.
 	targetWatchTimeout = time.Second
-	// targetWatchDivisor determines the minimum interval between the starts of two
-	// calls on the target entries, which change continuously: the time within
-	// which a draining target must get no more requests, divided by
-	// targetWatchDivisor. The rest of the time is left for a slow call.
-	targetWatchDivisor = 2
+	// hubTargetFraction and targetFraction determine the minimum interval between
+	// the starts of two calls on the target entries, which change continuously, as
+	// fractions of the time within which a draining target must get no more
+	// requests. The rest of the time is left for a slow call. A group's hub reads
+	// the entries more often and tells the other processes of draining targets.
+	hubTargetFraction = 0.5
+	targetFraction    = 0.8
 )
 
+// targetWatchInterval returns the minimum interval between the starts of two calls
+// on the target entries.
+func (e *Entry) targetWatchInterval() time.Duration {
+	fraction := targetFraction
+	if e.members.isHub() || e.members.heardCount() == 0 {
+		fraction = hubTargetFraction
+	}
+	return time.Duration(fraction * float64(e.settings.DrainBound))
+}
+
 // watchTimeout returns the duration of the next watch call on keys that peers
 // follow as well. A process that hears no peer uses the shortest one, isolated.
 //
--- a/pkg/kv/follower.go
+++ b/pkg/kv/follower.go
@@ -37,8 +37,9 @@
 	Prefix string
 	// WatchTimeout returns the maximum duration of the next watch call.
 	WatchTimeout func() time.Duration
-	// MinInterval is the minimum interval between the starts of two calls.
-	MinInterval time.Duration
+	// MinInterval returns the minimum interval between the starts of two calls. It
+	// may be nil.
+	MinInterval func() time.Duration
 	// OnUpdate is called with each update, from one goroutine.
 	OnUpdate func(Update)
 	// A value on Relist cancels the current call and lists all entries
@@ -72,7 +73,7 @@
 		switch {
 		case err == nil:
 			listed, revision, retryDelay = true, nextRevision, minRetryDelay
-			clock.Sleep(ctx, f.MinInterval-time.Since(startedAt))
+			f.pause(ctx, startedAt)
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		default:
@@ -82,6 +83,13 @@
 	}
 }
 
+// pause waits until the next call may start.
+func (f *Follower) pause(ctx context.Context, lastStart time.Time) {
+	if f.MinInterval != nil {
+		clock.Sleep(ctx, f.MinInterval()-time.Since(lastStart))
+	}
+}
+
 // listOrWatchUntilRelist calls listOrWatch, cancels the call when Relist
 // receives a value, and reports whether it did.
 func (f *Follower) listOrWatchUntilRelist(ctx context.Context, listed bool, revision uint64) (next uint64, relist bool, err error) {
--- a/pkg/rollout/reply.go
+++ b/pkg/rollout/reply.go
@@ -79,8 +79,8 @@
 func (p *Planner) handleAccepted(now time.Duration, state *engineState, firstSend bool) {
 	state.phase, state.conflicts = loading, 0
 	if !firstSend {
+		state.nextOrderAt = now + checkInterval<<min(state.checks, maxDoubledChecks)
 		state.checks++
-		state.nextOrderAt = now + checkInterval
 		return
 	}
 	state.orders++
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -31,8 +31,10 @@
 	// measured.
 	initialLoadTime = 250 * time.Millisecond
 	// checkInterval is the interval between checks of an update that takes
-	// longer than expected.
-	checkInterval = 60 * time.Millisecond
+	// longer than expected. From maxDoubledChecks checks on, it is constant;
+	// before that, each check doubles it.
+	checkInterval    = 60 * time.Millisecond
+	maxDoubledChecks = 2
 	// noReplyDelay is the delay before an order without a reply is sent again.
 	// Each further consecutive order without a reply doubles the delay, up to
 	// maxNoReplyDelay.
