--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -50,7 +50,7 @@
 	loads := map[TargetKey]TargetLoad{}
 	for boot, s := range b.targetStates {
 		if s.inFlight > 0 && include(s) {
-			backlog := math.Round(s.backlog(now, b.serviceStats(s.service).prefillRate))
+			backlog := math.Round(s.backlog(now, b.serviceStats(s.service).prefillRate, b.peerLoad(boot.ID).Backlog))
 			loads[KeyOf(boot.ID)] = TargetLoad{InFlight: s.inFlight, Pending: s.pending, Backlog: backlog}
 		}
 	}
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -80,7 +80,7 @@
 	}
 	peerLoad := b.peerLoad(c.target.ID)
 	choice.PrefillTokens = work
-	queuedTokens := c.state.backlog(now, stats.prefillRate) + peerLoad.Backlog
+	queuedTokens := c.state.backlog(now, stats.prefillRate, peerLoad.Backlog) + peerLoad.Backlog
 	expected := baseTTFB + prefillTime(queuedTokens+work, stats)
 	expected += b.slotWait(c, peerLoad, stats, req.Model != "")
 	expected += c.target.RemainingWarmUp / warmUpDivisor
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -116,9 +116,13 @@
 
 // backlog returns the number of prompt tokens that this process sent to the
 // target and that the target has not processed yet, assuming that it processes
-// rate tokens per millisecond.
-func (s *targetState) backlog(now time.Duration, rate float64) float64 {
+// rate tokens per millisecond. Beside the peers' backlog, only a proportional
+// part of that rate is available to this process's requests.
+func (s *targetState) backlog(now time.Duration, rate, peersBacklog float64) float64 {
 	processed := rate * float64(now-s.queuedTokensAt) / float64(time.Millisecond)
+	if s.queuedTokens > 0 {
+		processed *= s.queuedTokens / (s.queuedTokens + peersBacklog)
+	}
 	s.queuedTokens = max(0, s.queuedTokens-processed)
 	s.queuedTokensAt = now
 	if s.pending == 0 {
@@ -179,7 +183,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.targetState(choice.Target.Boot())
-	s.backlog(now, b.serviceStats(req.Service).prefillRate)
+	s.backlog(now, b.serviceStats(req.Service).prefillRate, b.peerLoad(choice.Target.ID).Backlog)
 	if s.pending == 0 {
 		s.lastProgressAt = now
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -30,7 +30,7 @@
 	// messages that a process sends and receives per second.
 	baseInterval = 100 * time.Millisecond
 	// peersAtBaseInterval is the number of peers up to which baseInterval applies.
-	peersAtBaseInterval = 8
+	peersAtBaseInterval = 20
 	// minUrgentInterval is the minimum interval between two messages with urgent
 	// news; it batches news that arise together.
 	minUrgentInterval = 20 * time.Millisecond
