--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -60,6 +60,13 @@
 	failedCount, endedCount float64
 	decayedAt               time.Duration
 	avoidUntil              time.Duration
+	// unreachableAt is the time at which this process last failed to reach the
+	// target; unreachable is set until it reaches it again.
+	unreachableAt time.Duration
+	unreachable   bool
+	// peersAvoidUntil is the time until which the target is avoided because peers
+	// failed to reach it.
+	peersAvoidUntil time.Duration
 	// pausedUntil is the time until which the target wants no requests from this
 	// process.
 	pausedUntil   time.Duration
@@ -132,7 +139,7 @@
 }
 
 func (s *targetState) healthy(now time.Duration) bool {
-	if now < s.avoidUntil {
+	if now < s.avoidUntil || now < s.peersAvoidUntil {
 		return false
 	}
 	return s.pending == 0 || now-s.lastProgressAt < progressTimeout
@@ -295,6 +302,7 @@
 	t.state.decay(now)
 	switch result {
 	case Succeeded:
+		t.state.unreachable = false
 		t.state.endedCount++
 		t.state.avoidDuration = 0
 		stats := t.balancer.serviceStats(t.service)
@@ -306,8 +314,10 @@
 			t.state.avoid(now, minStalledAvoidDuration)
 		}
 	case Unreachable:
+		t.state.unreachable, t.state.unreachableAt = true, now
 		t.state.avoid(now, minAvoidDuration)
 	case Replaced:
+		t.state.unreachable, t.state.unreachableAt = true, now
 		t.state.avoid(now, maxAvoidDuration)
 	case Cancelled:
 		if !firstByteSeen && now-lastProgressAt >= progressTimeout {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -116,6 +116,7 @@
 	lease        *leaseManager
 	rollouts     *rolloutManager
 	leaving      *leavingTargets
+	unreachable  *unreachableReports
 	drainReports *drainReporter
 	// hubSequence counts the states of the own group that this process has sent.
 	// Only the goroutine that sends them uses it.
@@ -155,6 +156,7 @@
 	e.overdueDetector = newOverdueConfigDetector()
 	e.rollouts = newRolloutManager(e)
 	e.leaving = newLeavingTargets(e)
+	e.unreachable = newUnreachableReports()
 	e.drainReports = newDrainReporter(e)
 	var err error
 	e.gossip, err = gossip.New(gossip.Config{
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -110,7 +110,7 @@
 	monitor := &feedMonitor{entry: m.entry, feed: "members"}
 	follower := kv.Follower{
 		Store: m.entry.platform.Store, Prefix: m.entry.platform.Keys.SystemPrefix, WatchTimeout: m.memberWatchTimeout, MinInterval: func() time.Duration { return memberWatchInterval },
-		Relist: m.relist,
+		Relist:   m.relist,
 		OnUpdate: m.applyUpdate, OnResult: monitor.record,
 	}
 	follower.Run(ctx)
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -40,6 +40,7 @@
 		TargetLoads: e.balancer.LocalLoads(now),
 		Groups:      e.members.groups.direct(now),
 	}
+	m.Unreachable = e.balancer.Unreachable(now)
 	e.addLeaderNews(&m.News, func() []gossip.EngineStatus { return e.rollouts.statuses.list(now) })
 	return m
 }
@@ -53,6 +54,8 @@
 		Usage:       e.limiter.GroupUsage(now),
 		TargetLoads: e.balancer.GroupLoads(now, e.members.groupPeerNames()),
 	}
+	e.unreachable.record(now, e.balancer.Unreachable(now))
+	state.Unreachable = e.unreachable.recent(now)
 	e.addLeaderNews(&state.News, func() []gossip.EngineStatus { return e.rollouts.statuses.list(now) })
 	if token, remaining := e.rollouts.statuses.claim(now); state.LeaderRemaining == 0 && remaining > 0 {
 		state.FencingToken, state.LeaderRemaining, state.Engines = token, remaining, e.rollouts.statuses.list(now)
@@ -96,6 +99,7 @@
 // applyPeerState applies the state of a peer of the own group.
 func (e *Entry) applyPeerState(now time.Duration, m *gossip.Message) {
 	e.members.recordMessage(m.Sender, m.BootID)
+	e.unreachable.record(now, m.Unreachable)
 	e.balancer.SetPeerLoads(m.Sender, m.TargetLoads)
 	e.applyUsage(now, tokenrate.Report{Peer: m.Sender, Source: m.Sender, Boot: m.BootID, Processes: 1, Accounts: m.Usage})
 }
@@ -128,6 +132,7 @@
 	if config := e.config.Load(); config != nil && e.overdueDetector.recordVersion(now, news.ConfigVersion, config.Version) {
 		e.log.Log(eventlog.ConfigOverdue, "peer", sender, "version", news.ConfigVersion, "in_force", config.Version)
 	}
+	e.balancer.AvoidUnreachable(now, news.Unreachable)
 	for _, boot := range news.Leaving {
 		e.leaving.learn(now, boot, sender)
 	}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -46,6 +46,9 @@
 	// Leaving holds the runs of targets that have recently announced that they
 	// are leaving.
 	Leaving []fleet.Boot
+	// Unreachable holds the runs of targets to which the process has recently
+	// failed to connect, or whose address another target uses now.
+	Unreachable []fleet.Boot
 	// FencingToken is the fencing token of the leader, which sends load orders to
 	// engines, and LeaderRemaining the time for which its lease is certain to be
 	// valid. Both are 0 if the sender does not pass on the leader's state. Engines
@@ -88,9 +91,8 @@
 		From: m.Sender, Boot: m.BootID, Sequence: m.Sequence, Config: m.ConfigVersion, Fence: m.FencingToken,
 		StoreEra: m.StoreEra, LeaderMs: uint32(m.LeaderRemaining.Milliseconds()), Partial: m.Partial, DrainReport: m.DrainReport,
 	}
-	for _, boot := range m.Leaving {
-		state.Leaving = append(state.Leaving, &gossippb.TargetRun{Id: boot.ID, BornUnixMs: boot.StartUnixMS})
-	}
+	state.Leaving = encodeBoots(m.Leaving)
+	state.Unreachable = encodeBoots(m.Unreachable)
 	for account, usage := range m.Usage {
 		state.Usage = append(state.Usage, &gossippb.Usage{
 			Account: account, Admitted: int64(math.Round(usage.Admitted)), Level: int64(math.Round(usage.Level)),
@@ -117,6 +119,22 @@
 	return state
 }
 
+func encodeBoots(boots []fleet.Boot) []*gossippb.TargetRun {
+	var runs []*gossippb.TargetRun
+	for _, boot := range boots {
+		runs = append(runs, &gossippb.TargetRun{Id: boot.ID, BornUnixMs: boot.StartUnixMS})
+	}
+	return runs
+}
+
+func decodeBoots(runs []*gossippb.TargetRun) []fleet.Boot {
+	var boots []fleet.Boot
+	for _, run := range runs {
+		boots = append(boots, fleet.Boot{ID: run.GetId(), StartUnixMS: run.GetBornUnixMs()})
+	}
+	return boots
+}
+
 func decode(data []byte) (Message, error) {
 	var state gossippb.State
 	if err := proto.Unmarshal(data, &state); err != nil {
@@ -141,9 +159,8 @@
 		Usage:       make(map[string]tokenrate.Usage, len(state.GetUsage())),
 		TargetLoads: make(map[balance.TargetKey]balance.TargetLoad, len(state.GetWork())),
 	}
-	for _, run := range state.GetLeaving() {
-		m.Leaving = append(m.Leaving, fleet.Boot{ID: run.GetId(), StartUnixMS: run.GetBornUnixMs()})
-	}
+	m.Leaving = decodeBoots(state.GetLeaving())
+	m.Unreachable = decodeBoots(state.GetUnreachable())
 	for _, u := range state.GetUsage() {
 		m.Usage[u.GetAccount()] = tokenrate.Usage{Admitted: float64(u.GetAdmitted()), Level: float64(u.GetLevel())}
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -16,10 +16,12 @@
 )
 
 const (
-	// maxUncountedAttempts bounds the attempts per request that don't count
-	// against the route's attempts: those that sent nothing, or that reached
-	// another target or other weights.
-	maxUncountedAttempts = 4
+	// maxUnsentAttempts and maxMisdirectedAttempts bound the attempts per request
+	// that don't count against the route's attempts: those that sent nothing, which
+	// fail quickly while many targets are down, and those that reached another
+	// target or other weights.
+	maxUnsentAttempts      = 12
+	maxMisdirectedAttempts = 4
 	// notRunRetryAfter is the Retry-After value of a refused request that no target
 	// ran, for example because a target was full.
 	notRunRetryAfter = 100 * time.Millisecond
@@ -95,7 +97,7 @@
 func (q *request) sendWithRetries(ctx context.Context) {
 	q.relay.Retries.RecordRequest(q.service, q.relay.Processes())
 	excluded := map[string]bool{}
-	countedAttempts, uncountedAttempts := 0, 0
+	countedAttempts, unsentAttempts, misdirectedAttempts := 0, 0, 0
 	for {
 		if q.callerConnClosed() {
 			q.handleDisconnect(&attempt{})
@@ -119,12 +121,20 @@
 		case callerDisconnected:
 			q.handleDisconnect(a)
 			return
-		case notSent, addressReused, staleWeights:
-			uncountedAttempts++
+		case notSent:
+			unsentAttempts++
+			excluded[choice.Target.ID] = true
+			if unsentAttempts < maxUnsentAttempts {
+				continue
+			}
+			q.refuse(q.notRunRefusal(notRunReasons[result]))
+			return
+		case addressReused, staleWeights:
+			misdirectedAttempts++
 			// A target with another weights version stays a candidate, since the
 			// next attempt can expect the version that it has.
 			excluded[choice.Target.ID] = result != staleWeights
-			if uncountedAttempts < maxUncountedAttempts && (result == notSent || q.tryRetry()) {
+			if misdirectedAttempts < maxMisdirectedAttempts && q.tryRetry() {
 				continue
 			}
 			q.refuse(q.notRunRefusal(notRunReasons[result]))
