Keep the prompts of one head on a few engines; import heads from any store

Besides, 3,900 of 17,500 requests missed the prefix's primary engine, since the fixed bias of up to 40 ms outweighed the 227 missing tokens. Now a major head has a few home engines, the primary engine has no bias, and a head is imported from whichever store holds it.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -147,6 +147,7 @@
 	// which no more requests may begin on older ones.
 	versionDeadline time.Duration
 	storeViews      map[string]*storeView
+	heads           *headShares
 	// onDrained is called when this process has no more requests in flight at a
 	// target that is cordoned or loading weights, or no more that wait for the
 	// first byte. It must not block.
@@ -187,6 +188,7 @@
 		peerLoads:        map[string]map[TargetKey]TargetLoad{},
 		peerTotals:       map[TargetKey]TargetLoad{},
 		storeViews:       map[string]*storeView{},
+		heads:            newHeadShares(),
 		versionHistories: map[string]*fleet.VersionHistory{},
 		versionDeadline:  versionDeadline,
 	}
@@ -256,11 +258,12 @@
 
 // lowestScore returns the choice with the lowest score among the candidates.
 func (b *Balancer) lowestScore(now time.Duration, req *Request, candidates []candidate) Choice {
-	primary := b.primaryCandidate(req, candidates)
+	primary := b.primaryCandidate(now, req, candidates)
+	stored := map[string]storeMatch{}
 	var best Choice
 	bestScore := time.Duration(-1)
 	for i := range candidates {
-		choice, score := b.score(now, req, candidates, i, primary)
+		choice, score := b.score(now, req, candidates, i, primary, stored)
 		if req.MaxExpectedTTFB > 0 && choice.ExpectedTTFB > req.MaxExpectedTTFB {
 			score += excessTTFBPenalty
 		}
@@ -272,24 +275,6 @@
 	return best
 }
 
-// primaryCandidate returns the index of the primary candidate for the shared
-// prefix, which is determined by rendezvous hashing and therefore the same in
-// all processes. It returns -1 for requests without a shared prefix.
-func (b *Balancer) primaryCandidate(req *Request, candidates []candidate) int {
-	if len(req.SharedParts) == 0 {
-		return -1
-	}
-	id := req.sharedID()
-	best, bestHash := -1, uint64(0)
-	for i := range candidates {
-		hash := xxhash.Sum64String(id + "\x00" + candidates[i].target.ID)
-		if best < 0 || hash > bestHash {
-			best, bestHash = i, hash
-		}
-	}
-	return best
-}
-
 // sharedID returns the identifier of the shared prefix, which is unique within
 // a salt.
 func (r *Request) sharedID() string {
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
@@ -33,6 +35,8 @@
 	target  *fleet.Target
 	state   *targetState
 	version int64
+	// hash is the hash of the target's identifier.
+	hash uint64
 }
 
 // filter drops the targets that cannot serve the request. Among the rest it
@@ -85,7 +89,7 @@
 			}
 			version = s.newestVersion(req.Model, listed)
 		}
-		list = append(list, candidate{target: t, state: s, version: version})
+		list = append(list, candidate{target: t, state: s, version: version, hash: xxhash.Sum64String(t.ID)})
 	}
 	return list
 }
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -65,8 +65,9 @@
 
 // score returns the choice for candidates[index] and its score, which is the
 // expected time to the first byte plus penalties. primary is the index of the
-// primary candidate for the shared prefix, or -1 if there is none.
-func (b *Balancer) score(now time.Duration, req *Request, candidates []candidate, index, primary int) (Choice, time.Duration) {
+// primary candidate for the shared prefix, or -1 if there is none. stored caches
+// by salt what the cache stores hold of the request's prompt.
+func (b *Balancer) score(now time.Duration, req *Request, candidates []candidate, index, primary int, stored map[string]storeMatch) (Choice, time.Duration) {
 	c := &candidates[index]
 	stats := b.serviceStats(req.Service)
 	choice := Choice{Target: *c.target, Version: c.version, LoadAge: -1}
@@ -75,7 +76,7 @@
 	}
 	work, recomputed := float64(0), float64(0)
 	if req.Model != "" {
-		work, recomputed = b.prefillWork(now, req, candidates, index, primary, &choice)
+		work, recomputed = b.prefillWork(now, req, candidates, index, primary, &choice, stored)
 		choice.Primary, choice.RecomputedTokens = index == primary, int64(recomputed)
 	}
 	peerLoad := b.peerLoad(c.target.ID)
@@ -93,13 +94,19 @@
 		score += staleWeightsPenalty
 	}
 	score += time.Duration(c.state.failureRate(now) * float64(failurePenalty))
-	score += b.targetBias(c.target.ID) + time.Duration(b.random.Int64N(int64(scoreJitter)))
-	return choice, score
+	if recomputed > 0 {
+		score += maxTargetBias
+	}
+	if index != primary {
+		score += b.targetBias(c.target.ID)
+	}
+	return choice, score + time.Duration(b.random.Int64N(int64(scoreJitter)))
 }
 
 // targetBias returns the penalty, at least 0 and less than maxTargetBias, that
-// this process always adds to the score of a target. It makes processes choose
-// different targets among those with equal load.
+// this process always adds to the score of a target that is not the primary
+// candidate. It makes processes choose different targets among those with equal
+// load.
 func (b *Balancer) targetBias(targetID string) time.Duration {
 	return time.Duration(xxhash.Sum64String(b.processID+"\x00"+targetID) % uint64(maxTargetBias))
 }
@@ -112,7 +119,7 @@
 // process, with imported tokens counted at their lower cost, and the number of
 // those that another target has already processed. It also fills in the cache
 // fields of choice.
-func (b *Balancer) prefillWork(now time.Duration, req *Request, candidates []candidate, index, primary int, choice *Choice) (work, recomputed float64) {
+func (b *Balancer) prefillWork(now time.Duration, req *Request, candidates []candidate, index, primary int, choice *Choice, stored map[string]storeMatch) (work, recomputed float64) {
 	c := &candidates[index]
 	choice.CacheSalt = req.CacheSalt(c.version)
 	sharedTokens := float64(req.sharedTokens())
@@ -122,10 +129,16 @@
 	}
 	choice.Prefix = prefixKey(choice.CacheSalt, req.sharedID())
 	prefix, ok := b.prefixes.Peek(choice.Prefix)
-	storedTokens := b.storedTokens(now, req, prefix, choice)
+	match, known := stored[choice.CacheSalt]
+	if !known {
+		match = b.storedParts(now, req, prefix, choice.CacheSalt)
+		stored[choice.CacheSalt] = match
+	}
+	storedTokens := match.tokens
+	choice.StoreAddress = match.saveAddress
 	choice.SaveToStore = choice.StoreAddress != "" && storedTokens < sharedTokens && prefix.shouldSave(now, unsharedTokens, sharedTokens)
 	if storedTokens > 0 {
-		choice.Import, choice.ImportAddress = ImportFromStore, choice.StoreAddress
+		choice.Import, choice.ImportAddress = ImportFromStore, match.address
 	}
 	if source := prefix.sourceTarget(now, candidates, c); source != nil {
 		choice.Import, choice.ImportAddress = ImportFromTarget, source.Address
@@ -148,18 +161,34 @@
 	return unsharedTokens + importCost*storedTokens + missing, missing
 }
 
-// storedTokens returns the number of shared tokens that the cache store holds,
-// and sets the store's address in choice.
-func (b *Balancer) storedTokens(now time.Duration, req *Request, prefix *prefixState, choice *Choice) float64 {
+// storeMatch is what the cache stores hold of a request's prompt under one salt.
+type storeMatch struct {
+	// address is the store that holds the longest leading part, of tokens tokens.
+	address string
+	tokens  float64
+	// saveAddress is the store to which the prefix is saved; empty if there is
+	// none.
+	saveAddress string
+}
+
+// storedParts returns what the cache stores hold of a request's prompt. A prefix
+// is saved to one store only, but its leading parts may be in others as well,
+// with other prefixes.
+func (b *Balancer) storedParts(now time.Duration, req *Request, prefix *prefixState, salt string) storeMatch {
 	if len(req.Stores) == 0 {
-		return 0
+		return storeMatch{}
+	}
+	match := storeMatch{saveAddress: req.Stores[xxhash.Sum64String(req.sharedID())%uint64(len(req.Stores))]}
+	if !b.storeView(match.saveAddress).hasEvents && prefix != nil && prefix.savedRecently(now) {
+		match.address, match.tokens = match.saveAddress, float64(req.sharedTokens())
+		return match
 	}
-	choice.StoreAddress = req.Stores[xxhash.Sum64String(req.sharedID())%uint64(len(req.Stores))]
-	view := b.storeView(choice.StoreAddress)
-	if !view.hasEvents && prefix != nil && prefix.savedRecently(now) {
-		return float64(req.sharedTokens())
+	for _, address := range req.Stores {
+		if tokens := float64(b.storeView(address).leadingTokens(salt, req.SharedParts)); tokens > match.tokens {
+			match.address, match.tokens = address, tokens
+		}
 	}
-	return float64(view.leadingTokens(choice.CacheSalt, req.SharedParts))
+	return match
 }
 
 // shouldSave reports whether the target should save the request's prompt to
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -202,6 +202,7 @@
 	s.pendingTokens += choice.PrefillTokens
 	s.queuedTokens += choice.PrefillTokens
 	if len(req.SharedParts) > 0 {
+		b.heads.record(now, req.SharedParts[0].ID)
 		b.recordHolder(now, choice.CacheSalt, req.sharedID(), choice.Target.Boot(), choice.SaveToStore)
 	}
 	return t
