--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -77,7 +77,7 @@
 	list := make([]candidate, 0, len(targets))
 	for i := range targets {
 		t := &targets[i]
-		if t.Service != req.Service || t.Draining || req.Excluded[t.ID] {
+		if t.Service != req.Service || t.Draining || !req.allows(t.ID) {
 			continue
 		}
 		s := b.targetState(t.Boot())
@@ -104,6 +104,15 @@
 	return earliest - now
 }
 
+// allows reports whether a target may be chosen, given those that have been
+// tried.
+func (r *Request) allows(id string) bool {
+	if r.Only != "" {
+		return id == r.Only
+	}
+	return !r.Excluded[id]
+}
+
 func selectCandidates(list []candidate, ok func(*candidate) bool) []candidate {
 	var selected []candidate
 	for i := range list {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/call"
+	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
@@ -25,6 +26,9 @@
 	// notRunRetryAfter is the Retry-After value of a refused request that no target
 	// ran, for example because a target was full.
 	notRunRetryAfter = 100 * time.Millisecond
+	// resumeRetryDelay is the delay before a target that rejected the continuation
+	// of a stream is asked again.
+	resumeRetryDelay = 100 * time.Millisecond
 	// stallTimeoutFactor is the first-byte timeout of a retryable request, as a
 	// multiple of the route's objective. After it, the request is sent to another
 	// target.
@@ -145,6 +149,10 @@
 		if q.mayResend(result, countedAttempts) {
 			continue
 		}
+		if q.mayAskAgain(ctx, result) {
+			q.onlyTarget = choice.Target.ID
+			continue
+		}
 		q.finish(a, result)
 		return
 	}
@@ -170,6 +178,17 @@
 	return q.tryRetry()
 }
 
+// mayAskAgain reports whether the target that rejected the continuation of a
+// stream may be asked again, and waits a moment if so. The caller of a stream that
+// has begun can't be told to come back, and asking the same target again does not
+// count as a further attempt.
+func (q *request) mayAskAgain(ctx context.Context, result outcome) bool {
+	if result != notRun || !q.wroteHeader || q.remaining() <= 2*resumeRetryDelay || !q.tryRetry() {
+		return false
+	}
+	return clock.Sleep(ctx, resumeRetryDelay)
+}
+
 func (q *request) tryRetry() bool {
 	return q.relay.Retries.TryRetry(q.service, q.relay.Processes())
 }
@@ -215,7 +234,7 @@
 }
 
 func (q *request) balanceRequest(excluded map[string]bool) *balance.Request {
-	req := &balance.Request{Service: q.service, Excluded: excluded, MaxExpectedTTFB: q.maxFirstByteWait()}
+	req := &balance.Request{Service: q.service, Excluded: excluded, Only: q.onlyTarget, MaxExpectedTTFB: q.maxFirstByteWait()}
 	service, ok := q.config.Services[q.service]
 	if !ok || !service.HasEngines || q.meta.Model == "" {
 		return req
