--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -206,12 +206,26 @@
 	b.onDrained = fn
 }
 
-// AnnounceVersion records an announced weights version of a model and reports
-// whether it is newer than all earlier ones.
-func (b *Balancer) AnnounceVersion(now time.Duration, model string, version int64) bool {
+// AnnounceVersion records a weights version of a model that was announced at the
+// given time, and reports whether it is newer than all known ones.
+func (b *Balancer) AnnounceVersion(at time.Duration, model string, version int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.versionHistory(model).Announce(now, version)
+	return b.versionHistory(model).Announce(at, version)
+}
+
+// maxAnnouncedVersions is the number of versions of a model whose announcements a
+// process reports. Older ones are no longer loaded by any engine.
+const maxAnnouncedVersions = 6
+
+// AnnouncementAges calls fn with the newest announced weights versions of each
+// model and the times since their announcements.
+func (b *Balancer) AnnouncementAges(now time.Duration, fn func(model string, version int64, age time.Duration)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for model, history := range b.versionHistories {
+		history.Latest(maxAnnouncedVersions, func(version int64, announcedAt time.Duration) { fn(model, version, now-announcedAt) })
+	}
 }
 
 // AnnouncedVersions returns the newest announced weights version of each model.
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -109,16 +109,16 @@
 		e.log.Log(eventlog.ConfigRejected, "err", err, "in_force", 0)
 		return
 	}
-	e.announceVersion(model, version, "store")
+	e.announceVersion(e.uptime(), model, version, "store")
 }
 
-// announceVersion records an announced weights version of a model and, if it is
-// newer than all earlier ones, triggers a rollout. source is the peer that sent
-// the version, or "store"; it is logged.
-func (e *Entry) announceVersion(model string, version int64, source string) {
-	if e.balancer.AnnounceVersion(e.uptime(), model, version) {
+// announceVersion records a weights version of a model that was announced at the
+// given time and, if it is newer than all known ones, triggers a rollout. source
+// is the peer that sent the version, or "store"; it is logged.
+func (e *Entry) announceVersion(at time.Duration, model string, version int64, source string) {
+	if e.balancer.AnnounceVersion(at, model, version) {
 		e.rollouts.requestPlan()
-		e.log.Log(eventlog.WeightsNamed, "model", model, "version", version, "source", source)
+		e.log.Log(eventlog.WeightsNamed, "model", model, "version", version, "source", source, "age_ms", (e.uptime() - at).Milliseconds())
 	}
 }
 
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -109,7 +109,7 @@
 func (m *memberList) follow(ctx context.Context) {
 	monitor := &feedMonitor{entry: m.entry, feed: "members"}
 	follower := kv.Follower{
-		Store: m.entry.platform.Store, Prefix: m.entry.platform.Keys.SystemPrefix, WatchTimeout: m.memberWatchTimeout, MinInterval: func() time.Duration { return memberWatchInterval },
+		Store: m.entry.platform.Store, Prefix: m.entry.platform.Keys.SystemPrefix, WatchTimeout: m.memberWatchTimeout, MinInterval: m.memberWatchInterval,
 		Relist:   m.relist,
 		OnUpdate: m.applyUpdate, OnResult: monitor.record,
 	}
--- a/pkg/entry/pacing.go
+++ b/pkg/entry/pacing.go
@@ -16,10 +16,12 @@
 	// longest watch call, up to maxWatchTimeout.
 	watchExtensionPerPeer = 100 * time.Millisecond
 	maxWatchTimeout       = 25 * time.Second
-	// memberWatchInterval is the minimum interval between the starts of two calls
-	// on the keys that the entry processes write. It batches the changes of a
-	// fleet whose processes all start at the same time.
-	memberWatchInterval = 2 * time.Second
+	// memberIntervalPerMember determines the minimum interval between the starts of
+	// two calls on the keys that the entry processes write: it is multiplied by the
+	// number of members, up to maxMemberInterval. The interval batches the changes
+	// of a fleet whose processes all start at the same time.
+	memberIntervalPerMember = 20 * time.Millisecond
+	maxMemberInterval       = 2 * time.Second
 	// targetWatchTimeout is the duration of one watch call on the target entries.
 	targetWatchTimeout = time.Second
 	// hubTargetFraction and targetFraction determine the minimum interval between
@@ -61,6 +63,12 @@
 	return watchTimeout(operatorWatchTimeout, m.heardCount(), rand.N[time.Duration])
 }
 
+// memberWatchInterval returns the minimum interval between the starts of two calls
+// on the keys that the entry processes write.
+func (m *memberList) memberWatchInterval() time.Duration {
+	return min(maxMemberInterval, time.Duration(m.processCount())*memberIntervalPerMember)
+}
+
 func (m *memberList) memberWatchTimeout() time.Duration {
 	return watchTimeout(memberWatchTimeout, m.heardCount(), rand.N[time.Duration])
 }
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -11,11 +11,10 @@
 
 // news returns what every process should know, without the engines' updates.
 func (e *Entry) news(now time.Duration) gossip.News {
-	news := gossip.News{
-		AnnouncedVersions: e.balancer.AnnouncedVersions(),
-		StoreEra:          e.platform.Eras.Current(),
-		Leaving:           e.leaving.recent(now),
-	}
+	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now)}
+	e.balancer.AnnouncementAges(now, func(model string, version int64, age time.Duration) {
+		news.AnnouncedVersions = append(news.AnnouncedVersions, gossip.AnnouncedVersion{Model: model, Version: version, Age: age})
+	})
 	if config := e.config.Load(); config != nil {
 		news.ConfigVersion = config.Version
 	}
@@ -136,8 +135,8 @@
 	for _, boot := range news.Leaving {
 		e.leaving.learn(now, boot, sender)
 	}
-	for model, version := range news.AnnouncedVersions {
-		e.announceVersion(model, version, sender)
+	for _, a := range news.AnnouncedVersions {
+		e.announceVersion(now-a.Age, a.Model, a.Version, sender)
 	}
 	for i := range news.Engines {
 		e.applyEngineStatus(now, &news.Engines[i])
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -30,7 +30,7 @@
 	LeaseLost        = Event{920, "lease_lost", "The process's lease expired, or its renewal failed.", []string{"err"}}
 	LeaderGained     = Event{921, "leader_gained", "This process became the leader and now sends the orders to engines.", []string{"fence"}}
 	LeaderLost       = Event{922, "leader_lost", "This process is no longer the leader and sends no more orders to engines.", []string{"fence", "reason"}}
-	WeightsNamed     = Event{923, "weights_named", "The operators announced a newer weights version of a model.", []string{"model", "version", "source"}}
+	WeightsNamed     = Event{923, "weights_named", "The operators announced a newer weights version of a model.", []string{"model", "version", "source", "age_ms"}}
 	OrderSent        = Event{924, "order_sent", "An order to load weights was sent to an engine.",
 		[]string{"target", "model", "version", "fence", "expected", "retain", "outcome", "err", "took_ms"}}
 	PeerMessageInvalid = Event{926, "peer_message_invalid", "A message from a peer could not be decoded.", []string{"from", "err"}}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -155,4 +155,16 @@
 		So(h.Staleness(6*time.Second, 2), ShouldEqual, 2*time.Second)
 		So(h.Staleness(6*time.Second, 3), ShouldEqual, 0)
 	})
+	// A process that starts after an announcement learns from its peers how old the
+	// announcement is. Otherwise it would use superseded weights past the deadline.
+	Convey("An announcement that becomes known late counts from its own time", t, func() {
+		var h VersionHistory
+		So(h.Announce(10*time.Second, 4), ShouldBeTrue)
+		So(h.Announce(5*time.Second, 3), ShouldBeFalse)
+		So(h.Announce(9*time.Second, 4), ShouldBeFalse)
+		So(h.Announce(11*time.Second, 4), ShouldBeFalse)
+		So(h.Staleness(11*time.Second, 2), ShouldEqual, 6*time.Second)
+		So(h.Staleness(11*time.Second, 3), ShouldEqual, 2*time.Second)
+		So(h.Newest(), ShouldEqual, 4)
+	})
 }
--- a/pkg/fleet/versions.go
+++ b/pkg/fleet/versions.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // maxAnnouncements is the maximum number of versions in a VersionHistory.
 const maxAnnouncements = 32
@@ -16,17 +20,29 @@
 	announcedAt time.Duration
 }
 
-// Announce records an announced version and reports whether it is newer than
-// all earlier ones.
-func (h *VersionHistory) Announce(now time.Duration, version int64) bool {
-	if version <= h.Newest() {
+// Announce records a version that was announced at the given time, and reports
+// whether it is newer than all known ones. A process that learns of a version
+// late records the earliest time that it is told.
+func (h *VersionHistory) Announce(at time.Duration, version int64) bool {
+	isNewest := version > h.Newest()
+	i, known := slices.BinarySearchFunc(h.announcements, version, func(a versionAnnouncement, v int64) int { return cmp.Compare(a.version, v) })
+	if known {
+		h.announcements[i].announcedAt = min(h.announcements[i].announcedAt, at)
 		return false
 	}
-	if len(h.announcements) == maxAnnouncements {
-		h.announcements = append(h.announcements[:0], h.announcements[1:]...)
+	h.announcements = slices.Insert(h.announcements, i, versionAnnouncement{version: version, announcedAt: at})
+	if len(h.announcements) > maxAnnouncements {
+		h.announcements = slices.Delete(h.announcements, 0, 1)
+	}
+	return isNewest
+}
+
+// Latest calls fn with the newest announced versions, at most n, and the times of
+// their announcements.
+func (h *VersionHistory) Latest(n int, fn func(version int64, announcedAt time.Duration)) {
+	for _, a := range h.announcements[max(0, len(h.announcements)-n):] {
+		fn(a.version, a.announcedAt)
 	}
-	h.announcements = append(h.announcements, versionAnnouncement{version: version, announcedAt: now})
-	return true
 }
 
 // Newest returns the newest announced version, or 0 if there is none.
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -38,9 +38,8 @@
 type News struct {
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion int64
-	// AnnouncedVersions holds the newest announced weights version of each
-	// model.
-	AnnouncedVersions map[string]int64
+	// AnnouncedVersions holds the newest announced weights versions of each model.
+	AnnouncedVersions []AnnouncedVersion
 	// StoreEra is the newest era of the store that the process knows.
 	StoreEra uint64
 	// Leaving holds the runs of targets that have recently announced that they
@@ -58,6 +57,14 @@
 	Engines         []EngineStatus
 }
 
+// AnnouncedVersion is an announced weights version of a model.
+type AnnouncedVersion struct {
+	Model   string
+	Version int64
+	// Age is the time since the announcement.
+	Age time.Duration
+}
+
 // Group is the state of all processes of a group.
 type Group struct {
 	Name string
@@ -103,8 +110,8 @@
 			Target: uint32(target), Running: uint32(load.InFlight), Unstarted: uint32(load.Pending), Backlog: uint32(load.Backlog),
 		})
 	}
-	for model, version := range m.AnnouncedVersions {
-		state.Named = append(state.Named, &gossippb.Weights{Model: model, Version: version})
+	for _, a := range m.AnnouncedVersions {
+		state.Named = append(state.Named, &gossippb.Weights{Model: a.Model, Version: a.Version, AgeMs: uint32(a.Age.Milliseconds())})
 	}
 	for i := range m.Engines {
 		e := &m.Engines[i]
@@ -153,8 +160,7 @@
 		Sender: state.GetFrom(), BootID: state.GetBoot(), Sequence: state.GetSequence(), Partial: state.GetPartial(), DrainReport: state.GetDrainReport(),
 		News: News{
 			ConfigVersion: state.GetConfig(), StoreEra: state.GetStoreEra(),
-			AnnouncedVersions: make(map[string]int64, len(state.GetNamed())),
-			FencingToken:      state.GetFence(), LeaderRemaining: time.Duration(state.GetLeaderMs()) * time.Millisecond,
+			FencingToken: state.GetFence(), LeaderRemaining: time.Duration(state.GetLeaderMs()) * time.Millisecond,
 		},
 		Usage:       make(map[string]tokenrate.Usage, len(state.GetUsage())),
 		TargetLoads: make(map[balance.TargetKey]balance.TargetLoad, len(state.GetWork())),
@@ -170,7 +176,9 @@
 		}
 	}
 	for _, n := range state.GetNamed() {
-		m.AnnouncedVersions[n.GetModel()] = n.GetVersion()
+		m.AnnouncedVersions = append(m.AnnouncedVersions, AnnouncedVersion{
+			Model: n.GetModel(), Version: n.GetVersion(), Age: time.Duration(n.GetAgeMs()) * time.Millisecond,
+		})
 	}
 	for _, e := range state.GetEngines() {
 		m.Engines = append(m.Engines, EngineStatus{
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -38,7 +38,7 @@
 	// noReplyDelay is the delay before an order without a reply is sent again.
 	// Each further consecutive order without a reply doubles the delay, up to
 	// maxNoReplyDelay.
-	noReplyDelay    = 50 * time.Millisecond
+	noReplyDelay    = 100 * time.Millisecond
 	maxNoReplyDelay = 800 * time.Millisecond
 	// maxDoublings limits the shift so that the delay does not overflow.
 	maxDoublings = 8
