Import a head from its first home; fewer calls to a store that fails

The others now import it from the first home. Calls to the store: 25 s at most for a watch, 1.2 s between tries while it fails, no read before the first write of a process's record.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -275,12 +275,12 @@
 
 // lowestScore returns the choice with the lowest score among the candidates.
 func (b *Balancer) lowestScore(now time.Duration, req *Request, candidates []candidate) Choice {
-	primary := b.primaryCandidate(now, req, candidates)
+	preferred := b.affinity(now, req, candidates)
 	stored := map[string]storeMatch{}
 	var best Choice
 	bestScore := time.Duration(-1)
 	for i := range candidates {
-		choice, score := b.score(now, req, candidates, i, primary, stored)
+		choice, score := b.score(now, req, candidates, i, preferred, stored)
 		if req.MaxExpectedTTFB > 0 && choice.ExpectedTTFB > req.MaxExpectedTTFB {
 			score += excessTTFBPenalty
 		}
--- a/pkg/balance/primary.go
+++ b/pkg/balance/primary.go
@@ -74,24 +74,34 @@
 	return count.add(now, 0) / (headSharePrior + s.total.add(now, 0))
 }
 
-// primaryCandidate returns the index of the primary candidate for the shared
-// prefix, which is determined by rendezvous hashing and therefore the same in
-// all processes. It returns -1 for requests without a shared prefix.
+// affinity holds the indexes of the candidates that are preferred because of the
+// prompt's shared parts, or -1.
+type affinity struct {
+	// primary is the primary candidate for the whole shared prefix.
+	primary int
+	// headHome is the candidate from which the others import the head of the
+	// prompt, if no better source is known.
+	headHome int
+}
+
+// affinity returns the preferred candidates for the request's shared prefix. They
+// are determined by rendezvous hashing and therefore the same in all processes.
 //
 // The targets that process a prompt also process its head, which many prefixes
 // share. If the head is a major part of the prefix, its prompts therefore go to
 // a few targets only, the homes of the head; the others would each have to
 // process the head as well.
-func (b *Balancer) primaryCandidate(now time.Duration, req *Request, candidates []candidate) int {
+func (b *Balancer) affinity(now time.Duration, req *Request, candidates []candidate) affinity {
 	if len(req.SharedParts) == 0 {
-		return -1
+		return affinity{primary: -1, headHome: -1}
 	}
 	id := xxhash.Sum64String(req.sharedID())
-	homes := b.homeCount(now, req, len(candidates))
-	if homes >= len(candidates) {
-		return highestWeight(id, candidates, nil)
+	count := b.homeCount(now, req, len(candidates))
+	if count >= len(candidates) {
+		return affinity{primary: highestWeight(id, candidates, nil), headHome: -1}
 	}
-	return highestWeight(id, candidates, headHomes(req.SharedParts[0].ID, candidates, homes))
+	homes := headHomes(req.SharedParts[0].ID, candidates, count)
+	return affinity{primary: highestWeight(id, candidates, homes), headHome: homes[0]}
 }
 
 // homeCount returns the number of targets that process the prompts with the
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -64,10 +64,9 @@
 )
 
 // score returns the choice for candidates[index] and its score, which is the
-// expected time to the first byte plus penalties. primary is the index of the
-// primary candidate for the shared prefix, or -1 if there is none. stored caches
-// by salt what the cache stores hold of the request's prompt.
-func (b *Balancer) score(now time.Duration, req *Request, candidates []candidate, index, primary int, stored map[string]storeMatch) (Choice, time.Duration) {
+// expected time to the first byte plus penalties. stored caches by salt what the
+// cache stores hold of the request's prompt.
+func (b *Balancer) score(now time.Duration, req *Request, candidates []candidate, index int, preferred affinity, stored map[string]storeMatch) (Choice, time.Duration) {
 	c := &candidates[index]
 	stats := b.serviceStats(req.Service)
 	choice := Choice{Target: *c.target, Version: c.version, LoadAge: -1}
@@ -76,8 +75,8 @@
 	}
 	work, recomputed := float64(0), float64(0)
 	if req.Model != "" {
-		work, recomputed = b.prefillWork(now, req, candidates, index, primary, &choice, stored)
-		choice.Primary, choice.RecomputedTokens = index == primary, int64(recomputed)
+		work, recomputed = b.prefillWork(now, req, candidates, index, preferred, &choice, stored)
+		choice.Primary, choice.RecomputedTokens = index == preferred.primary, int64(recomputed)
 	}
 	peerLoad := b.peerLoad(c.target.ID)
 	choice.PrefillTokens = work
@@ -97,7 +96,7 @@
 	if recomputed > 0 {
 		score += maxTargetBias
 	}
-	if index != primary {
+	if index != preferred.primary {
 		score += b.targetBias(c.target.ID)
 	}
 	return choice, score + time.Duration(b.random.Int64N(int64(scoreJitter)))
@@ -119,7 +118,7 @@
 // process, with imported tokens counted at their lower cost, and the number of
 // those that another target has already processed. It also fills in the cache
 // fields of choice.
-func (b *Balancer) prefillWork(now time.Duration, req *Request, candidates []candidate, index, primary int, choice *Choice, stored map[string]storeMatch) (work, recomputed float64) {
+func (b *Balancer) prefillWork(now time.Duration, req *Request, candidates []candidate, index int, preferred affinity, choice *Choice, stored map[string]storeMatch) (work, recomputed float64) {
 	c := &candidates[index]
 	choice.CacheSalt = req.CacheSalt(c.version)
 	sharedTokens := float64(req.sharedTokens())
@@ -137,6 +136,9 @@
 	storedTokens := match.tokens
 	choice.StoreAddress = match.saveAddress
 	choice.SaveToStore = choice.StoreAddress != "" && storedTokens < sharedTokens && prefix.shouldSave(now, unsharedTokens, sharedTokens)
+	if home := preferred.headHome; home >= 0 && home != index && candidates[home].version == c.version {
+		choice.Import, choice.ImportAddress = ImportFromTarget, candidates[home].target.Address
+	}
 	if storedTokens > 0 {
 		choice.Import, choice.ImportAddress = ImportFromStore, match.address
 	}
@@ -149,14 +151,14 @@
 		return unsharedTokens, 0
 	}
 	missing := sharedTokens - storedTokens
-	if index == primary {
+	if index == preferred.primary {
 		return unsharedTokens + importCost*sharedTokens, 0
 	}
 	if missing == 0 {
 		return unsharedTokens + nonPrimaryImportCost*sharedTokens, 0
 	}
-	if candidates[primary].version == c.version {
-		choice.Import, choice.ImportAddress = ImportFromTarget, candidates[primary].target.Address
+	if primary := &candidates[preferred.primary]; primary.version == c.version {
+		choice.Import, choice.ImportAddress = ImportFromTarget, primary.target.Address
 	}
 	return unsharedTokens + importCost*storedTokens + missing, missing
 }
--- a/pkg/entry/lease.go
+++ b/pkg/entry/lease.go
@@ -197,11 +197,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	// Usually there is no value yet.
+	put := kv.Put{Key: key, Value: value, Lease: lease}
+	_, err = m.entry.platform.Store.CompareAndSwap(ctx, put)
+	if !errors.Is(err, kv.ErrConflict) {
+		return errors.Trace(err)
+	}
 	old, err := m.entry.platform.Store.Get(ctx, key)
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return errors.Trace(err)
 	}
-	_, err = m.entry.platform.Store.CompareAndSwap(ctx, kv.Put{Key: key, Value: value, ExpectRevision: old.Revision, Lease: lease})
+	put.ExpectRevision = old.Revision
+	_, err = m.entry.platform.Store.CompareAndSwap(ctx, put)
 	return errors.Trace(err)
 }
 
--- a/pkg/entry/pacing.go
+++ b/pkg/entry/pacing.go
@@ -14,7 +14,7 @@
 	memberWatchTimeout   = 3 * time.Second
 	// watchExtensionPerPeer is the time by which each heard peer extends the
 	// longest watch call, up to maxWatchTimeout.
-	watchExtensionPerPeer = 100 * time.Millisecond
+	watchExtensionPerPeer = 150 * time.Millisecond
 	maxWatchTimeout       = 25 * time.Second
 	// memberIntervalPerMember determines the minimum interval between the starts of
 	// two calls on the keys that the entry processes write: it is multiplied by the
--- a/pkg/kv/follower.go
+++ b/pkg/kv/follower.go
@@ -13,7 +13,7 @@
 // Bounds of a Follower's retry delay after a failed call.
 const (
 	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 1200 * time.Millisecond
 )
 
 // Update is a set of entries or changes that a Follower reports.
