Bound the urgent updates; choose sources of imports by their delay

The delay of each store's imports is now estimated against requests without, and a store that is slower than processing the tokens is left out. Heads are imported from the store of the whole prefix first: by address, one store had taken them all.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -151,6 +151,7 @@
 	versionDeadline time.Duration
 	storeViews      map[string]*storeView
 	heads           *headShares
+	importDelays    importDelays
 	// onDrained is called when this process has no more requests in flight at a
 	// target that is cordoned or loading weights, or no more that wait for the
 	// first byte. It must not block.
@@ -192,6 +193,7 @@
 		peerTotals:       map[TargetKey]TargetLoad{},
 		storeViews:       map[string]*storeView{},
 		heads:            newHeadShares(),
+		importDelays:     importDelays{byStore: map[string]*movingDelay{}},
 		versionHistories: map[string]*fleet.VersionHistory{},
 		versionDeadline:  versionDeadline,
 	}
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -82,6 +83,9 @@
 	choice.PrefillTokens = work
 	queuedTokens := c.state.backlog(now, stats.prefillRate, peerLoad.Backlog) + peerLoad.Backlog
 	expected := baseTTFB + prefillTime(queuedTokens+work, stats)
+	if choice.Import == ImportFromStore {
+		expected += stored[choice.CacheSalt].importDelay
+	}
 	expected += b.slotWait(c, peerLoad, stats, req.Model != "")
 	expected += c.target.RemainingWarmUp / warmUpDivisor
 	choice.ExpectedTTFB = expected
@@ -168,6 +172,8 @@
 	// address is the store that holds the longest leading part, of tokens tokens.
 	address string
 	tokens  float64
+	// importDelay is the estimated delay of an import from that store.
+	importDelay time.Duration
 	// saveAddress is the store to which the prefix is saved; empty if there is
 	// none.
 	saveAddress string
@@ -185,11 +191,19 @@
 		match.address, match.tokens = match.saveAddress, float64(req.sharedTokens())
 		return match
 	}
-	for _, address := range req.Stores {
+	// Heads are in all stores. Beginning with the store of the whole prefix spreads
+	// their imports.
+	first := slices.Index(req.Stores, match.saveAddress)
+	for i := range req.Stores {
+		address := req.Stores[(first+i)%len(req.Stores)]
 		if tokens := float64(b.storeView(address).leadingTokens(salt, req.SharedParts)); tokens > match.tokens {
 			match.address, match.tokens = address, tokens
 		}
 	}
+	match.importDelay = b.importDelays.of(now, match.address)
+	if match.importDelay > prefillTime(match.tokens, b.serviceStats(req.Service)) {
+		match.address, match.tokens = "", 0
+	}
 	return match
 }
 
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -183,6 +183,11 @@
 	startedAt     time.Duration
 	prefillTokens float64
 	onlyPending   bool
+	// expectedTTFB is the time to the first byte that the choice was based on, and
+	// importStore the cache store that the target imports from, if any.
+	expectedTTFB time.Duration
+	importStore  string
+	isPrompt     bool
 }
 
 // Begin records that a request is sent to the chosen target.
@@ -195,6 +200,10 @@
 		s.lastProgressAt = now
 	}
 	t := &TrackedRequest{balancer: b, state: s, service: req.Service, startedAt: now, prefillTokens: choice.PrefillTokens}
+	t.expectedTTFB, t.isPrompt = choice.ExpectedTTFB, req.Model != ""
+	if choice.Import == ImportFromStore {
+		t.importStore = choice.ImportAddress
+	}
 	t.onlyPending = s.pending == 0 && b.peerLoad(choice.Target.ID).Pending == 0
 	s.service = req.Service
 	s.inFlight++
@@ -237,6 +246,9 @@
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
 	first := !t.firstByteSeen
+	if first && t.isPrompt {
+		t.balancer.importDelays.record(now, t.importStore, now-t.startedAt-t.expectedTTFB)
+	}
 	t.markFirstByte(now)
 	if first && t.onlyPending && t.prefillTokens >= minPrefillSampleTokens {
 		elapsed := float64(now-t.startedAt-baseTTFB) / float64(time.Millisecond)
@@ -295,6 +307,9 @@
 	t.ended = true
 	firstByteSeen := t.firstByteSeen
 	lastProgressAt := t.state.lastProgressAt
+	if late := now - t.startedAt - t.expectedTTFB; t.isPrompt && !firstByteSeen && result == Cancelled && late > 0 {
+		t.balancer.importDelays.record(now, t.importStore, late)
+	}
 	t.markFirstByte(now)
 	t.state.inFlight--
 	if t.state.inFlight == 0 {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -3,7 +3,7 @@
 // Entry process events.
 var (
 	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started.",
-		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms"}}
+		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "import_from", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms"}}
 	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer.",
 		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "err"}}
 	AnswerDelivered = Event{902, "answer_delivered", "A target's complete answer was delivered to the caller.",
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -275,7 +275,7 @@
 	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(nil), &a.choice)
 	relay.Log.Log(eventlog.AttemptBegun, "request_id", q.meta.ID, "route", q.route.Name, "account", q.accountName(),
 		"try", q.attempts, "target", target.ID, "weights", a.choice.Version, "expected_ms", a.choice.ExpectedTTFB.Milliseconds(),
-		"cached_tokens", a.choice.CachedTokens, "import", a.choice.Import.String(), "save", a.choice.SaveToStore, "prompt_tokens", q.meta.PromptTokens,
+		"cached_tokens", a.choice.CachedTokens, "import", a.choice.Import.String(), "import_from", a.choice.ImportAddress, "save", a.choice.SaveToStore, "prompt_tokens", q.meta.PromptTokens,
 		"prefix", strconv.FormatUint(a.choice.Prefix, 16), "primary", a.choice.Primary, "recomputed_tokens", a.choice.RecomputedTokens, "candidates", a.choice.Candidates,
 		"load_age_ms", a.choice.LoadAge.Milliseconds(), "config", q.config.Version, "left_ms", q.remaining().Milliseconds())
 	attemptCtx, cancel := context.WithCancel(ctx)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -68,6 +68,10 @@
 	// including those that still run requests: updatesPerLoad times the number
 	// that may load weights concurrently.
 	updatesPerLoad = 2
+	// urgentUpdatesPerLoad determines in the same way how many engines whose update
+	// is urgent may be updated concurrently, in addition to the others. These load
+	// at once, so more of them would only be withheld from requests.
+	urgentUpdatesPerLoad = 1.5
 )
 
 // Engine is the state of one engine as seen by the planner.
@@ -172,21 +176,45 @@
 func (p *Planner) Plan(now time.Duration, version int64, engines []Engine) []Step {
 	p.prune(engines)
 	maxLoading := (p.countResponsive(engines) + concurrentLoadDivisor - 1) / concurrentLoadDivisor
-	outdated, updating, loadingCount := p.classify(now, version, engines)
+	outdated, counts := p.classify(now, version, engines)
 	slices.SortStableFunc(outdated, func(a, b *Engine) int {
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.InFlight, b.InFlight))
 	})
 	var steps []Step
 	for _, e := range outdated {
-		if updating >= updatesPerLoad*maxLoading && !p.urgent(e) {
-			break
+		if !p.admit(e, &counts, maxLoading) {
+			continue
 		}
-		updating++
 		state := p.engineState(e)
 		state.phase, state.phaseStartedAt = cordoned, now
 		steps = append(steps, Step{Kind: Cordon, Boot: e.Boot, Version: version})
 	}
-	return append(steps, p.dueOrders(now, version, engines, loadingCount, maxLoading)...)
+	return append(steps, p.dueOrders(now, version, engines, counts.loading, maxLoading)...)
+}
+
+// updateCounts counts the engines that are being updated.
+type updateCounts struct {
+	// updating includes urgent, the engines whose update can't wait for their
+	// running requests, and loading, those that load weights now.
+	updating, urgent, loading int
+}
+
+// admit reports whether an outdated engine's update may begin now, and counts it
+// if so.
+func (p *Planner) admit(e *Engine, counts *updateCounts, maxLoading int) bool {
+	if p.urgent(e) {
+		if float64(counts.urgent) >= urgentUpdatesPerLoad*float64(maxLoading) {
+			return false
+		}
+		counts.urgent++
+		counts.updating++
+		return true
+	}
+	if counts.updating >= updatesPerLoad*maxLoading {
+		return false
+	}
+	counts.updating++
+	return true
 }
 
 // countResponsive returns the number of engines with at most one consecutive
@@ -201,9 +229,9 @@
 	return count
 }
 
-// classify returns the outdated engines whose update has not begun, the number
-// of engines that are being updated, and how many of these load weights now.
-func (p *Planner) classify(now time.Duration, version int64, engines []Engine) (outdated []*Engine, updating, loadingCount int) {
+// classify returns the outdated engines whose update has not begun, and counts
+// the engines that are being updated.
+func (p *Planner) classify(now time.Duration, version int64, engines []Engine) (outdated []*Engine, counts updateCounts) {
 	for i := range engines {
 		e := &engines[i]
 		state := p.engineState(e)
@@ -221,11 +249,14 @@
 			// The engine begins to load after its requests have ended.
 			state.phaseStartedAt, state.nextOrderAt = now, now+p.loadTime
 		case state.phase >= sending && (state.retain || e.InFlight == 0):
-			loadingCount++
+			counts.loading++
+		}
+		counts.updating++
+		if state.retain || (state.phase == cordoned && p.urgent(e)) {
+			counts.urgent++
 		}
-		updating++
 	}
-	return outdated, updating, loadingCount
+	return outdated, counts
 }
 
 // dueOrders returns the steps for orders that are due: first orders for
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -177,6 +177,20 @@
 	})
 }
 
+// TestOverdueRolloutBesideRequests answers a rollout that is late because requests
+// run long on overloaded engines: all remaining engines become urgent at the same
+// moment, but withholding all of them from requests makes the overload worse.
+func TestOverdueRolloutBesideRequests(t *testing.T) {
+	Convey("With requests of three seconds, most engines accept requests at any time, and all are updated by the deadline", t, func() {
+		const engines = 36
+		s := newSimulation(engines, func(int) time.Duration { return 3 * time.Second })
+		s.run(8*time.Second, map[time.Duration]int64{0: 2})
+		So(s.upToDate(), ShouldEqual, engines)
+		So(s.maxStaleness, ShouldBeLessThan, deadline)
+		So(s.maxConcurrentUpdates, ShouldBeLessThan, 2*engines/3)
+	})
+}
+
 // TestVersionsInQuickSuccession guards against an engine that is never updated
 // because it is the last in each rollout and the next version is announced
 // before the rollout reaches it.
