--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -124,8 +124,8 @@
 var faultInjectors = []func(*deployment, fault){
 	stopProcess, killProcess, pauseProcess,
 	injectTargetLinkFault, injectTargetLinkFault, injectStoreLinkFault, injectStoreLinkFault,
-	makeStoreUnavailable, loseStoreWatches,
-	makeTargetMisbehave, makeTargetMisbehave, drainTarget, publishWeights, publishConfiguration,
+	makeStoreUnavailable, loseStoreWatches, restoreStore,
+	makeTargetMisbehave, makeTargetMisbehave, drainTarget, announceLeaving, publishWeights, publishConfiguration,
 }
 
 func stopProcess(d *deployment, f fault) {
@@ -209,6 +209,23 @@
 
 func loseStoreWatches(d *deployment, _ fault) { d.store.LoseWatches() }
 
+// restoreStore restores the store from a copy. The operators and the targets write
+// again what they have written since the copy.
+func restoreStore(d *deployment, f fault) {
+	copied := d.store.Copy()
+	time.Sleep(f.duration)
+	d.store.Restore(copied)
+	time.Sleep(time.Duration(f.variant) * time.Millisecond)
+	d.recorder.mu.Lock()
+	d.putConfiguration()
+	version := d.weightsVersion
+	d.recorder.mu.Unlock()
+	d.putWeights(version)
+	for i := range d.targets {
+		d.registerTarget(i)
+	}
+}
+
 func makeTargetMisbehave(d *deployment, f fault) {
 	id := d.targets[f.target].ID
 	d.recorder.setBehaviour(id, shedding+targetBehaviour(f.variant)%(behaviourCount-shedding))
@@ -216,10 +233,21 @@
 	d.recorder.setBehaviour(id, healthy)
 }
 
+// drainTarget replaces a target's run after it has reported that it is draining.
 func drainTarget(d *deployment, f fault) {
-	d.registerTarget(f.target, "draining")
+	d.setTargetState(f.target, "draining")
+	time.Sleep(f.duration)
+	d.targets[f.target].BeginRun()
+	d.setTargetState(f.target, "ready")
+}
+
+// announceLeaving replaces a target's run after its responses, but not its
+// registry entry, have announced that it is leaving.
+func announceLeaving(d *deployment, f fault) {
+	d.targets[f.target].SetLeaving()
 	time.Sleep(f.duration)
-	d.registerTarget(f.target, "ready")
+	d.targets[f.target].BeginRun()
+	d.registerTarget(f.target)
 }
 
 func publishWeights(d *deployment, _ fault) {
@@ -227,7 +255,7 @@
 	d.weightsVersion++
 	version := d.weightsVersion
 	d.recorder.mu.Unlock()
-	d.store.Put("op/version/m", fmt.Sprintf(`{"model":"m","version":%d}`, version))
+	d.putWeights(version)
 }
 
 func publishConfiguration(d *deployment, _ fault) {
@@ -245,7 +273,7 @@
 		link.SetDown(false)
 		link.SetDroppedDirections(0)
 		link.SetDelay(0)
-		d.registerTarget(i, "ready")
+		d.setTargetState(i, "ready")
 	}
 	for _, p := range d.processes {
 		p.storeLink.SetDown(false)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -158,6 +158,9 @@
 	// injected.
 	configVersion  int
 	weightsVersion int
+	// targetStates holds the state in each target's registry entry; it is guarded
+	// by recorder.mu.
+	targetStates []string
 }
 
 var deploymentCount atomic.Uint32
@@ -173,7 +176,7 @@
 		link, err := linkfake.Start(target.Address())
 		d.requireNoError(err)
 		d.targets, d.targetLinks = append(d.targets, target), append(d.targetLinks, link)
-		d.registerTarget(i, "ready")
+		d.setTargetState(i, "ready")
 	}
 	for i := range entries {
 		d.processes = append(d.processes, d.newProcess(i, seed))
@@ -197,8 +200,27 @@
 	})
 }
 
-func (d *deployment) registerTarget(index int, state string) {
+func (d *deployment) putWeights(version int) {
+	d.store.Put("op/version/m", fmt.Sprintf(`{"model":"m","version":%d}`, version))
+}
+
+// setTargetState changes the state in a target's registry entry.
+func (d *deployment) setTargetState(index int, state string) {
+	d.recorder.mu.Lock()
+	for len(d.targetStates) <= index {
+		d.targetStates = append(d.targetStates, "")
+	}
+	d.targetStates[index] = state
+	d.recorder.mu.Unlock()
+	d.registerTarget(index)
+}
+
+// registerTarget writes a target's registry entry.
+func (d *deployment) registerTarget(index int) {
 	target := d.targets[index]
+	d.recorder.mu.Lock()
+	state := d.targetStates[index]
+	d.recorder.mu.Unlock()
 	d.store.Put("servers/"+target.ID, target.RegistryEntryAt(d.targetLinks[index].Addr(), "s", fmt.Sprint("zone-", index%2), state))
 }
 
