Let engines drain before they load; requests that are left go on

Now an engine is cordoned first, and ordered when hardly any request is left, or after 0.8 s; what is left goes on under the new weights, which costs the rest of those answers.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -21,12 +21,15 @@
 	// concurrently: the number of responsive engines divided by
 	// concurrentLoadDivisor, rounded up.
 	concurrentLoadDivisor = 6
-	// maxDrainTime is the longest time to wait for an engine's pending
-	// requests before the load order is sent.
-	maxDrainTime = 300 * time.Millisecond
-	// cordonPropagationTime is the time until all processes know that an
-	// engine is cordoned.
-	cordonPropagationTime = 40 * time.Millisecond
+	// maxDrainTime is the longest time to wait for an engine's requests before the
+	// load order is sent. A few long requests would otherwise keep the engine idle.
+	maxDrainTime = 800 * time.Millisecond
+	// maxRunsLeft is the number of requests in flight with which an engine may be
+	// ordered to load at once.
+	maxRunsLeft = 2
+	// cordonPropagationTime is the time until all processes know that an engine is
+	// cordoned and have reported their requests at it.
+	cordonPropagationTime = 60 * time.Millisecond
 	// initialLoadTime is the expected load time until the first one has been
 	// measured.
 	initialLoadTime = 250 * time.Millisecond
@@ -280,7 +283,7 @@
 			loadingCount++
 			state.version, state.phaseStartedAt = version, now
 			state.phase = sending
-			state.retain = p.urgent(e)
+			state.retain = p.urgent(e) || e.InFlight > 0
 			steps = append(steps, p.orderStep(e, state))
 		case state.phase == loading && now >= state.nextOrderAt:
 			state.phase = checking
@@ -296,12 +299,15 @@
 	return e.Staleness >= p.deadline/urgentDivisor
 }
 
-// readyForOrder reports whether a cordoned engine is ready for its order,
-// because it has no pending requests or maxDrainTime has passed. The engine need
-// not have completed its running requests, since it waits for them itself.
+// readyForOrder reports whether a cordoned engine is ready for its order: hardly
+// any request is left, or maxDrainTime has passed. Requests that are left continue
+// under the new weights, since an engine that waits for them serves no others.
 func readyForOrder(now time.Duration, e *Engine, state *engineState) bool {
 	elapsed := now - state.phaseStartedAt
-	return elapsed >= maxDrainTime || (elapsed >= cordonPropagationTime && e.Pending == 0)
+	if elapsed >= maxDrainTime {
+		return true
+	}
+	return elapsed >= cordonPropagationTime && e.Pending == 0 && e.InFlight <= maxRunsLeft
 }
 
 func (p *Planner) orderStep(e *Engine, state *engineState) Step {
