--- a/pkg/balance/importdelay_test.go
+++ b/pkg/balance/importdelay_test.go
@@ -42,6 +42,9 @@
 		})
 		Convey("it is seldom imported while they take longer than processing it, and again afterwards", func() {
 			So(storeImports(b, time.Second, time.Second), ShouldBeLessThan, 8)
+			choice := send(b, 3*time.Second, time.Second)
+			So(choice.Import, ShouldNotEqual, ImportFromStore)
+			So(choice.SaveToStore, ShouldBeFalse)
 			So(storeImports(b, 20*time.Second, 0), ShouldEqual, 20)
 		})
 	})
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -143,6 +143,9 @@
 	if home := preferred.headHome; home >= 0 && home != index && candidates[home].version == c.version {
 		choice.Import, choice.ImportAddress = ImportFromTarget, candidates[home].target.Address
 	}
+	if match.busy {
+		storedTokens = 0
+	}
 	if storedTokens > 0 {
 		choice.Import, choice.ImportAddress = ImportFromStore, match.address
 	}
@@ -172,8 +175,10 @@
 	// address is the store that holds the longest leading part, of tokens tokens.
 	address string
 	tokens  float64
-	// importDelay is the estimated delay of an import from that store.
+	// importDelay is the estimated delay of an import from that store. busy is set
+	// if the import would take longer than processing the tokens.
 	importDelay time.Duration
+	busy        bool
 	// saveAddress is the store to which the prefix is saved; empty if there is
 	// none.
 	saveAddress string
@@ -201,9 +206,7 @@
 		}
 	}
 	match.importDelay = b.importDelays.of(now, match.address)
-	if match.importDelay > prefillTime(match.tokens, b.serviceStats(req.Service)) {
-		match.address, match.tokens = "", 0
-	}
+	match.busy = match.importDelay > prefillTime(match.tokens, b.serviceStats(req.Service))
 	return match
 }
 
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -1,8 +1,8 @@
 // Package rollout plans the rolling update of a model's engines to newly
 // announced weights. It limits the number of engines that are updated at the
 // same time. For each of them it first cordons the engine, so that new requests
-// avoid it, and then sends a load order. The engine loads the weights after its
-// running requests have ended, or earlier if the deadline is near.
+// avoid it, and sends a load order once hardly any request is left there. The
+// requests that are left continue under the new weights.
 //
 // The package performs no I/O: its caller executes the steps and reports their
 // results. Times are offsets on the process's monotonic clock.
