--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -101,7 +101,8 @@
 func (q *request) sendWithRetries(ctx context.Context) {
 	q.relay.Retries.RecordRequest(q.service, q.relay.Processes())
 	excluded := map[string]bool{}
-	countedAttempts, unsentAttempts, misdirectedAttempts := 0, 0, 0
+	countedAttempts := 0
+	var uncounted uncountedAttempts
 	for {
 		if q.callerConnClosed() {
 			q.handleDisconnect(&attempt{})
@@ -125,20 +126,11 @@
 		case callerDisconnected:
 			q.handleDisconnect(a)
 			return
-		case notSent:
-			unsentAttempts++
-			excluded[choice.Target.ID] = true
-			if unsentAttempts < maxUnsentAttempts {
-				continue
-			}
-			q.refuse(q.notRunRefusal(notRunReasons[result]))
-			return
-		case addressReused, staleWeights:
-			misdirectedAttempts++
+		case notSent, addressReused, staleWeights:
 			// A target with another weights version stays a candidate, since the
 			// next attempt can expect the version that it has.
 			excluded[choice.Target.ID] = result != staleWeights
-			if misdirectedAttempts < maxMisdirectedAttempts && q.tryRetry() {
+			if uncounted.allowNext(result, q.tryRetry) {
 				continue
 			}
 			q.refuse(q.notRunRefusal(notRunReasons[result]))
@@ -158,6 +150,25 @@
 	}
 }
 
+// uncountedAttempts counts a request's attempts that don't count against the
+// route's attempts.
+type uncountedAttempts struct {
+	unsent, misdirected int
+}
+
+// allowNext counts an attempt that did not reach the chosen target, or reached it
+// with other weights, and reports whether another one is allowed. tryRetry
+// consumes one retry of the service's budget; an attempt that sent nothing needs
+// none.
+func (u *uncountedAttempts) allowNext(result outcome, tryRetry func() bool) bool {
+	if result == notSent {
+		u.unsent++
+		return u.unsent < maxUnsentAttempts
+	}
+	u.misdirected++
+	return u.misdirected < maxMisdirectedAttempts && tryRetry()
+}
+
 // callerConnClosed reports whether the caller closed its connection before the
 // request was forwarded. http.Server detects a close only while a handler runs,
 // so it may not have detected the close for a request that was queued unread.
