--- a/pkg/tokenrate/tokenrate.go
+++ b/pkg/tokenrate/tokenrate.go
@@ -215,8 +215,8 @@
 	for _, b := range l.buckets {
 		l.refill(now, b)
 	}
-	comparable := p.source == report.Source
-	if !comparable || p.boot != report.Boot {
+	sameSource := p.source == report.Source
+	if !sameSource || p.boot != report.Boot {
 		p.admitted = map[string]float64{}
 	}
 	firstReport := !p.reported
@@ -227,7 +227,7 @@
 			continue
 		}
 		b := l.bucket(now, account)
-		fromZero := comparable || (firstReport && l.unaccounted(b, p))
+		fromZero := sameSource || (firstReport && l.unaccounted(b, p))
 		l.applyUsage(now, b, p, accountName, usage, fromZero)
 	}
 }
