--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -4,8 +4,8 @@
 var (
 	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started.",
 		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "import_from", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms"}}
-	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer.",
-		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "err"}}
+	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer, or this process ended it; ended_by is target, or this process's reason: target_silent, caller_left, deadline or stopping.",
+		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "ended_by", "err"}}
 	AnswerDelivered = Event{902, "answer_delivered", "A target's complete answer was delivered to the caller.",
 		[]string{"request_id", "route", "account", "target", "status", "tries", "first_byte_ms", "total_ms"}}
 	CallerRefused = Event{903, "caller_refused", "A caller received a refusal or an error that the entry process produced; ran is false if the request has not run and never will.",
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/clock"
@@ -94,8 +96,18 @@
 	body []byte
 	sent bool
 	err  error
+	// endedBy is why this process ended the attempt; nil if the target ended it.
+	endedBy error
 }
 
+// Reasons for which this process ends an attempt.
+const (
+	errTargetSilent     = errors.ConstError("target_silent")
+	errCallerLeft       = errors.ConstError("caller_left")
+	errDeadlineExceeded = errors.ConstError("deadline")
+	errStopping         = errors.ConstError("stopping")
+)
+
 // sendWithRetries sends the request until an attempt yields the final response
 // or no further attempt is allowed.
 func (q *request) sendWithRetries(ctx context.Context) {
@@ -289,14 +301,15 @@
 		"cached_tokens", a.choice.CachedTokens, "import", a.choice.Import.String(), "import_from", a.choice.ImportAddress, "save", a.choice.SaveToStore, "prompt_tokens", q.meta.PromptTokens,
 		"prefix", strconv.FormatUint(a.choice.Prefix, 16), "primary", a.choice.Primary, "recomputed_tokens", a.choice.RecomputedTokens, "candidates", a.choice.Candidates,
 		"load_age_ms", a.choice.LoadAge.Milliseconds(), "config", q.config.Version, "left_ms", q.remaining().Milliseconds())
-	attemptCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stall := q.newStallTimer(cancel)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := q.newStallTimer(func() { cancel(errTargetSilent) })
 	defer stall.Stop()
 	// A failed write to the caller panics, so a deferred call also ends the
 	// tracking.
 	defer func() { a.tracked.End(relay.Now(), balance.Cancelled) }()
 	result := q.roundTrip(attemptCtx, a, stall)
+	a.endedBy = q.endReason(attemptCtx)
 	if result != delivered {
 		result = q.classifyOutcome(ctx, a, result)
 	}
@@ -315,6 +328,23 @@
 	return time.AfterFunc(timeout, cancel)
 }
 
+// endReason returns why this process ended an attempt with the given context, or
+// nil if it did not.
+func (q *request) endReason(attemptCtx context.Context) error {
+	switch {
+	case attemptCtx.Err() == nil:
+		return nil
+	case errors.Is(context.Cause(attemptCtx), errTargetSilent):
+		return errTargetSilent
+	case q.r.Context().Err() != nil:
+		return errCallerLeft
+	case q.relay.DrainExpired.Err() != nil:
+		return errStopping
+	default:
+		return errDeadlineExceeded
+	}
+}
+
 // classifyOutcome replaces the outcome of an attempt that ended because the
 // caller disconnected or the request ran out of time.
 func (q *request) classifyOutcome(ctx context.Context, a *attempt, result outcome) outcome {
@@ -361,8 +391,12 @@
 	if a.err != nil {
 		message = a.err.Error()
 	}
+	endedBy := "target"
+	if a.endedBy != nil {
+		endedBy = a.endedBy.Error()
+	}
 	q.relay.Log.Log(eventlog.AttemptFailed, "request_id", q.meta.ID, "try", q.attempts, "target", a.choice.Target.ID,
-		"outcome", result.String(), "status", status, "sent", a.sent, "took_ms", (q.relay.Now() - a.startedAt).Milliseconds(), "err", message)
+		"outcome", result.String(), "status", status, "sent", a.sent, "took_ms", (q.relay.Now() - a.startedAt).Milliseconds(), "ended_by", endedBy, "err", message)
 }
 
 // handleDisconnect records that the caller disconnected and aborts the handler
