--- a/pkg/fake/linkfake/linkfake.go
+++ b/pkg/fake/linkfake/linkfake.go
@@ -40,6 +40,32 @@
 	dropped  Direction
 	accepted int
 	closed   bool
+	// disturbances holds the faults on connections that have been closed.
+	disturbances []Disturbance
+}
+
+// Disturbance is a fault that affected one connection: the link closed it, or
+// dropped data on it.
+type Disturbance struct {
+	// ConnAddr is the address of the connection's client, as the server sees it.
+	// It is empty if the link closed the connection before it reached the server.
+	ConnAddr string
+	// Start is the time of the fault, and End the time at which the connection was
+	// closed, or zero while it is open.
+	Start, End time.Time
+}
+
+// Disturbances returns the faults that have affected connections.
+func (l *Link) Disturbances() []Disturbance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	disturbances := append([]Disturbance(nil), l.disturbances...)
+	for p := range l.pairs {
+		if d, ok := p.disturbance(); ok {
+			disturbances = append(disturbances, d)
+		}
+	}
+	return disturbances
 }
 
 // Start starts a link from a free loopback port to server, host:port. The
@@ -71,6 +97,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for p := range l.pairs {
+		p.recordDisturbance()
 		p.close()
 	}
 }
@@ -174,9 +201,18 @@
 	forwarders.Go(func() { p.forward(l, client, server, ToClient) })
 	forwarders.Wait()
 	p.close()
+	l.remove(p)
+}
+
+// remove removes a closed connection and keeps the fault that affected it.
+func (l *Link) remove(p *connPair) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.pairs, p)
-	l.mu.Unlock()
+	if d, ok := p.disturbance(); ok {
+		d.End = time.Now()
+		l.disturbances = append(l.disturbances, d)
+	}
 }
 
 // register counts a connection and adds it to the open connections. It returns
@@ -186,6 +222,8 @@
 	defer l.mu.Unlock()
 	l.accepted++
 	if l.down || l.closed {
+		now := time.Now()
+		l.disturbances = append(l.disturbances, Disturbance{Start: now, End: now})
 		return false
 	}
 	p.addDropped(l.dropped)
@@ -207,6 +245,24 @@
 	mu sync.Mutex
 	// dropped is the set of directions in which data is dropped.
 	dropped Direction
+	// disturbedAt is the time of the first fault, or zero.
+	disturbedAt time.Time
+}
+
+// recordDisturbance records the time of the first fault on the connection.
+func (p *connPair) recordDisturbance() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.disturbedAt.IsZero() {
+		p.disturbedAt = time.Now()
+	}
+}
+
+// disturbance returns the fault that has affected the connection, if any.
+func (p *connPair) disturbance() (Disturbance, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Disturbance{ConnAddr: p.server.LocalAddr().String(), Start: p.disturbedAt}, !p.disturbedAt.IsZero()
 }
 
 func (p *connPair) close() {
@@ -216,6 +272,9 @@
 
 // addDropped makes the connection drop all further data in a direction.
 func (p *connPair) addDropped(direction Direction) {
+	if direction != 0 {
+		p.recordDisturbance()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropped |= direction
--- a/pkg/fake/linkfake/linkfake_test.go
+++ b/pkg/fake/linkfake/linkfake_test.go
@@ -81,5 +81,42 @@
 			ok, _ = echoes(dial(), longWait)
 			So(ok, ShouldBeTrue)
 		})
+		Convey("A fault is recorded for each connection that it affects, and for no other", func() {
+			So(link.Disturbances(), ShouldBeEmpty)
+			startedAt := time.Now()
+			link.DropTraffic(ToClient)
+			So(link.Disturbances(), ShouldHaveLength, 1)
+			dropped := link.Disturbances()[0]
+			So(dropped.Start, ShouldHappenOnOrAfter, startedAt)
+			So(dropped.End.IsZero(), ShouldBeTrue)
+			undisturbed := dial()
+			ok, _ = echoes(undisturbed, longWait)
+			So(ok, ShouldBeTrue)
+			So(undisturbed.Close(), ShouldBeNil)
+			for link.openConnections() > 1 {
+				time.Sleep(time.Millisecond)
+			}
+			link.CloseConnections()
+			for link.openConnections() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			So(link.Disturbances(), ShouldHaveLength, 1)
+			So(link.Disturbances()[0].ConnAddr, ShouldEqual, dropped.ConnAddr)
+			So(link.Disturbances()[0].End, ShouldHappenOnOrAfter, dropped.Start)
+		})
+		Convey("A connection that is rejected because the link is down is recorded without an address", func() {
+			link.SetDown(true)
+			ok, _ = echoes(dial(), longWait)
+			So(ok, ShouldBeFalse)
+			disturbances := link.Disturbances()
+			So(disturbances[len(disturbances)-1].ConnAddr, ShouldBeEmpty)
+		})
 	})
 }
+
+// openConnections returns the number of open connections.
+func (l *Link) openConnections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pairs)
+}
