Fault soak: sound targets that pause, and failures that recorded faults must explain

The soak could not show it: none of its targets paused without a fault, and it allowed each broken stream and each 5xx.

The targets now record, for each request, what they did wrong, how long they paused and whether the entry process ended the attempt; the links record which connections they disturbed. In all soak tests, outside of the fault windows of the process: - a broken stream or a 502 needs a recorded fault of a target that the request reached or of a link, and no attempt with a sound target and an undisturbed connection, unless the route's timeout is used up or a planned stop is in its last sixth; - 504 needs one of the latter two; 500 needs a target that responded with it.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -135,11 +135,14 @@
 	}
 	switch {
 	case r.err != nil:
-		// A stream that its target aborts can only end with a broken connection.
+		// Once a stream has begun, its failure can only be shown by a broken connection.
 		brokenStream := r.status == http.StatusOK && (route == "stream" || route == "resume")
 		if !mayFail && !brokenStream {
 			c.deployment.recorder.failf("%s: no complete response: %v", description, r.err)
 		}
+		if !mayFail && brokenStream {
+			c.requireExplanation(p, id, route, startedAt, endedAt, description+": broken stream")
+		}
 		if brokenStream && !strings.HasPrefix(expected, r.body) {
 			c.deployment.recorder.failf("%s: the %d bytes received are not a prefix of the expected stream", description, len(r.body))
 		}
@@ -151,7 +154,19 @@
 		if r.header.Get("Retry-After") == "" {
 			c.deployment.recorder.failf("%s: status %d without a Retry-After header", description, r.status)
 		}
-	case r.status < http.StatusInternalServerError:
+	case r.status == http.StatusGatewayTimeout:
+		if !mayFail {
+			c.requireTimeout(p, route, startedAt, endedAt, description+": status 504")
+		}
+	case r.status == http.StatusInternalServerError:
+		if !c.deployment.recorder.hasFault(id, faultStatus500) {
+			c.deployment.recorder.failf("%s: status 500, but no target responded with it", description)
+		}
+	case r.status >= http.StatusInternalServerError:
+		if !mayFail {
+			c.requireExplanation(p, id, route, startedAt, endedAt, fmt.Sprintf("%s: status %d", description, r.status))
+		}
+	default:
 		c.deployment.recorder.failf("%s: unexpected status %d", description, r.status)
 	}
 }
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -71,12 +71,20 @@
 	random         *rand.Rand
 	// behaviours holds the current behaviour by target ID.
 	behaviours map[string]targetBehaviour
+	// silenceCounts holds the number of faults that make a target silent at present,
+	// by target ID.
+	silenceCounts map[string]int
+	// attempts holds the attempts that reached a target, by request ID.
+	attempts map[string][]*targetAttempt
+	// shortestTimeouts holds the shortest timeout that each route has had.
+	shortestTimeouts map[string]time.Duration
 }
 
 func newRecorder(seed uint64) *recorder {
 	return &recorder{
 		received: map[string]int{}, runs: map[string]int{}, accountRuns: map[string]int{},
 		accountsBySalt: map[string]map[string]bool{}, behaviours: map[string]targetBehaviour{},
+		silenceCounts: map[string]int{}, attempts: map[string][]*targetAttempt{}, shortestTimeouts: map[string]time.Duration{},
 		random: rand.New(rand.NewPCG(seed, 2)),
 	}
 }
@@ -148,54 +156,61 @@
 // targetHandler returns the request handler of a target.
 func (rec *recorder) targetHandler(target *platformfake.Target) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get(platformfake.HeaderRequestID)
 		b := rec.recordReceived(target.ID, r.Header)
+		a := rec.beginAttempt(target.ID, r, b)
+		defer rec.endAttempt(a, r)
 		w.Header().Set(platformfake.HeaderInstance, target.ID)
 		switch {
 		case r.Header.Get(platformfake.HeaderExpectInstance) != target.ID:
+			rec.recordRejection(a)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		case b == shedding:
+			rec.recordRejection(a)
 			target.RejectNotRun(w)
 			return
 		}
-		rec.recordRun(id, r.Header.Get(platformfake.HeaderAccount))
-		if b == slow {
-			time.Sleep(time.Duration(rec.slowDelayMillis()) * time.Millisecond)
+		rec.recordRun(r.Header.Get(platformfake.HeaderRequestID), r.Header.Get(platformfake.HeaderAccount))
+		if a.silence.pauseAfter(0, r) {
+			rec.respond(w, r, target, a, b)
 		}
-		if b != unstamped {
-			target.SetStamp(w)
-		}
-		if b == failing {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resume/") {
-			writeStream(w, r, id, b)
-			return
-		}
-		if b == mismatched {
-			id = "other"
-			w.Header().Set(platformfake.HeaderRequestID, id)
-		}
-		text := expectedBody(id, r.Header.Get("X-Body"))
-		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
-		if b == aborting {
-			_, _ = io.WriteString(w, text[:len(text)/2])
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = io.WriteString(w, text)
 	}
 }
 
-// slowDelayMillis returns a random delay for a response of a slow target.
-func (rec *recorder) slowDelayMillis() int {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	return rec.random.IntN(2500)
+// respond writes the response to a request that the target runs.
+func (rec *recorder) respond(w http.ResponseWriter, r *http.Request, target *platformfake.Target, a *targetAttempt, b targetBehaviour) {
+	id := r.Header.Get(platformfake.HeaderRequestID)
+	if b == unstamped {
+		rec.recordFault(a, "no stamp")
+	} else {
+		target.SetStamp(w)
+	}
+	if b == failing {
+		rec.recordFault(a, faultStatus500)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resume/") {
+		rec.writeStream(w, r, a, b)
+		return
+	}
+	if b == mismatched {
+		rec.recordFault(a, "response to another request")
+		id = "other"
+		w.Header().Set(platformfake.HeaderRequestID, id)
+	}
+	text := expectedBody(id, r.Header.Get("X-Body"))
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if b == aborting {
+		rec.recordFault(a, "aborted response")
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
+	writeReply(w, r, text, a.silence)
 }
 
-func writeStream(w http.ResponseWriter, r *http.Request, id string, b targetBehaviour) {
+func (rec *recorder) writeStream(w http.ResponseWriter, r *http.Request, a *targetAttempt, b targetBehaviour) {
+	id := r.Header.Get(platformfake.HeaderRequestID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -205,6 +220,7 @@
 	for n := first; n <= eventsPerStream; n++ {
 		text := streamEvent(id, n)
 		if b == aborting && n == first+3 {
+			rec.recordFault(a, "aborted stream")
 			_, _ = io.WriteString(w, text[:len(text)-4])
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
@@ -212,6 +228,9 @@
 		if _, err := io.WriteString(w, text); err != nil || controller.Flush() != nil {
 			return
 		}
+		if !a.silence.pauseAfter(n, r) {
+			return
+		}
 		time.Sleep(eventInterval)
 	}
 }
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -154,9 +155,9 @@
 	client      *http.Client
 	// index distinguishes the deployments of this test process.
 	index uint32
-	// configVersion and weightsVersion are guarded by recorder.mu while faults are
+	// configuration and weightsVersion are guarded by recorder.mu while faults are
 	// injected.
-	configVersion  int
+	configuration  platformfake.Configuration
 	weightsVersion int
 	// targetStates holds the state in each target's registry entry; it is guarded
 	// by recorder.mu.
@@ -166,7 +167,8 @@
 var deploymentCount atomic.Uint32
 
 func newDeployment(t *testing.T, seed uint64, entries, targets int) *deployment {
-	d := &deployment{t: t, recorder: newRecorder(seed), store: platformfake.NewStore(), index: deploymentCount.Add(1), configVersion: 1, weightsVersion: 1}
+	d := &deployment{t: t, recorder: newRecorder(seed), store: platformfake.NewStore(), index: deploymentCount.Add(1), weightsVersion: 1}
+	d.configuration = platformfake.Configuration{Version: 1, MaxConns: 200, LowRate: lowRate, LowBurst: lowBurst}
 	d.client = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
 	t.Cleanup(d.close)
 	d.putConfiguration()
@@ -179,7 +181,7 @@
 		d.setTargetState(i, "ready")
 	}
 	for i := range entries {
-		d.processes = append(d.processes, d.newProcess(i, seed))
+		d.processes = append(d.processes, d.newProcess(i))
 	}
 	for _, p := range d.processes {
 		d.eventually(p.vm+" is ready", func() bool { return d.isReady(p) })
@@ -195,9 +197,8 @@
 }
 
 func (d *deployment) putConfiguration() {
-	d.store.PutConfiguration(platformfake.Configuration{
-		Version: d.configVersion, MaxConns: 200, LowRate: lowRate, LowBurst: lowBurst,
-	})
+	d.recorder.recordConfiguration(d.configuration)
+	d.store.PutConfiguration(d.configuration)
 }
 
 func (d *deployment) putWeights(version int) {
@@ -224,7 +225,7 @@
 	d.store.Put("servers/"+target.ID, target.RegistryEntryAt(d.targetLinks[index].Addr(), "s", fmt.Sprint("zone-", index%2), state))
 }
 
-func (d *deployment) newProcess(index int, seed uint64) *process {
+func (d *deployment) newProcess(index int) *process {
 	link, err := linkfake.Start(d.store.Address())
 	d.requireNoError(err)
 	// Each process has its own loopback address, so that all can use the same ports.
@@ -243,7 +244,7 @@
 	if *logDirectory != "" {
 		directory = *logDirectory
 	}
-	p.logFile, err = os.Create(filepath.Join(directory, fmt.Sprintf("seed-%d-%s.log", seed, p.vm)))
+	p.logFile, err = os.Create(filepath.Join(directory, strings.ReplaceAll(d.t.Name(), "/", "-")+"-"+p.vm+".log"))
 	d.requireNoError(err)
 	d.requireNoError(p.start())
 	p.settings["first_start"] = false
