End requests at a planned stop only in the last sixth of the grace period

What callers saw: with a grace period of 5 s, streams that had begun were closed in the middle, and requests got 504, 4.0 s after SIGTERM, although their targets were sound, time was left, and the users' rule lets a process end a request only in the last sixth of the grace period (4.17 s). Cause: drainMargin was 1 s whatever the grace period; it is right only from 6 s on. Ruled out: the stall timer, which does not apply to the route stream before the deadline. Why it works: the margin is now a sixth of the grace period, at most 1 s; for 5 s that is 0.83 s, more than the 0.5 s that the final responses have.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// drainMargin is the part of the grace period that remains when the process
-	// stops waiting for targets.
-	drainMargin = time.Second
+	// maxDrainMargin and drainMarginDivisor limit the part of the grace period that
+	// remains when the process stops waiting for targets.
+	maxDrainMargin     = time.Second
+	drainMarginDivisor = 6
 	// finalResponseTimeout is the time that the remaining requests then have to
 	// write their final responses.
 	finalResponseTimeout = 500 * time.Millisecond
@@ -90,7 +91,7 @@
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
 	e.lease.release()
 	clock.Sleep(context.Background(), e.settings.LeaveNotice)
-	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin)
+	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin(e.settings.StopGrace))
 	expireTimer := time.AfterFunc(time.Until(drainDeadline), e.expireDrain)
 	defer expireTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalResponseTimeout))
@@ -102,6 +103,12 @@
 	return errors.Annotate(err, "waiting for requests")
 }
 
+// drainMargin returns the part of a grace period that remains when the process stops
+// waiting for targets.
+func drainMargin(grace time.Duration) time.Duration {
+	return min(maxDrainMargin, grace/drainMarginDivisor)
+}
+
 func (e *Entry) readyHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
