Silence of a target no longer ends its answer: a second attempt runs beside it

What callers saw: an accepted request on a route that may be repeated ended with 502, or with a closed connection in the middle of its stream, while its target was sound and time was left.

Cause: a timer closed the connection to a target that had sent no first byte for 3 x the objective, or no event for 1.5 s, before anything could replace it. When no attempt, no retry of the budget or no target was left, or the next target refused, failed or paused as well, the caller lost an answer that would have come. Class: a timeout of ours ends what the other side has not ended, with no check that this helps the one who waits.

Now each attempt has a goroutine of its own, and the request's handler alone decides (pkg/relay/dispatch.go): when the active attempt's target is silent, a standby begins at another target within the route's attempts and the retry budget. The first of the two whose response goes on wins, and only then the other is cancelled.

TestRequestToUnresponsiveTarget stays green.

Ruled out: no timeout at all (a target that never responds would hold a request that another one can serve); ending the attempt only when another is allowed (the other may refuse, and the one ended was sound).

--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -4,7 +4,7 @@
 var (
 	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started.",
 		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "import_from", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms"}}
-	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer, or this process ended it; ended_by is target, or this process's reason: target_silent, caller_left, deadline or stopping.",
+	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer, or this process ended it; ended_by is target, or this process's reason: target_silent, superseded by another attempt, caller_left, deadline or stopping.",
 		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "ended_by", "err"}}
 	AnswerDelivered = Event{902, "answer_delivered", "A target's complete answer was delivered to the caller.",
 		[]string{"request_id", "route", "account", "target", "status", "tries", "first_byte_ms", "total_ms"}}
@@ -47,7 +47,9 @@
 	TargetPaused       = Event{936, "target_paused", "A target rejected a request and wants no further ones from this process for some time.", []string{"request_id", "target", "born", "pause_ms"}}
 	GroupHeard         = Event{937, "group_heard", "The state of another group of processes arrives, for the first time, again, or from another hub.", []string{"group", "hub", "boot", "processes"}}
 	GroupSilent        = Event{938, "group_silent", "No state of another group of processes arrives any more; its share of the rate limits stays reserved for it.", []string{"group", "hub", "silent_ms"}}
-	SettingsReloaded   = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
+	ResponseSilent     = Event{939, "response_silent", "A target has sent nothing of a repeatable request's response for some time. Its attempt goes on; standby is the target of a second attempt beside it, and reason is why there is none.",
+		[]string{"request_id", "try", "target", "events", "took_ms", "standby", "reason", "left_ms"}}
+	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
 var entryEvents = []Event{
@@ -56,4 +58,5 @@
 	PeerHeard, PeerSilent, MembersChanged, LeaseLost, LeaderGained, LeaderLost, WeightsNamed, OrderSent,
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
+	ResponseSilent,
 }
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -14,15 +13,14 @@
 // maxResponseBytes bounds a response that is buffered until it is complete.
 const maxResponseBytes = 8 << 20
 
-// handleResponse classifies the target's response and forwards a successful one
-// to the caller.
-func (q *request) handleResponse(a *attempt, stall *time.Timer) outcome {
+// handleResponse reads the rest of the target's response and classifies it.
+func (q *request) handleResponse(a *attempt) outcome {
 	status := a.exchange.Response.StatusCode
 	switch {
 	case a.responseMeta.NotRun:
 		return q.handleNotRun(a)
 	case status/100 == 2:
-		return q.handleSuccess(a, stall)
+		return q.handleSuccess(a)
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests, status == http.StatusRequestTimeout:
 		// To the caller, these statuses mean that the request did not run, which
 		// the target doesn't guarantee here.
@@ -49,7 +47,7 @@
 	return notRun
 }
 
-func (q *request) handleSuccess(a *attempt, stall *time.Timer) outcome {
+func (q *request) handleSuccess(a *attempt) outcome {
 	resp := a.exchange.Response
 	if !a.responseMeta.HasStamp || resp.Header.Get("Content-Encoding") != "" {
 		a.exchange.Finish(false)
@@ -57,14 +55,14 @@
 		return failed
 	}
 	if q.route.Kind == fleet.Stream {
-		return q.relayStream(a, stall)
+		return q.readStream(a)
 	}
-	return q.relayBuffered(a)
+	return q.readBuffered(a)
 }
 
-// relayBuffered reads the complete response before it forwards it, so that a
+// readBuffered reads the complete response before any of it is forwarded, so that a
 // truncated one is never sent to the caller.
-func (q *request) relayBuffered(a *attempt) outcome {
+func (q *request) readBuffered(a *attempt) outcome {
 	body, err := a.exchange.ReadAll(maxResponseBytes)
 	if err != nil {
 		a.exchange.Finish(false)
@@ -73,9 +71,8 @@
 	}
 	a.exchange.Finish(true)
 	a.tracked.RecordFirstByte(q.relay.Now())
-	q.firstByte = q.relay.Now()
-	q.writeBuffered(a, body)
-	return delivered
+	a.body = body
+	return completed
 }
 
 // handleErrorResponse buffers the target's error response, which is forwarded
--- /dev/null
+++ b/pkg/relay/choose.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/balance"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+// chooseTarget selects the next target, or returns a refusal if there is none.
+func (q *request) chooseTarget(excluded map[string]bool) (balance.Choice, *refusal) {
+	relay := q.relay
+	req := q.balanceRequest(excluded)
+	choice, rejection := relay.Balancer.Pick(relay.Now(), req, relay.Targets())
+	if rejection == nil {
+		return choice, nil
+	}
+	if q.wroteHeader {
+		return choice, &refusal{status: http.StatusBadGateway, reason: rejection.Reason, mayHaveRun: true}
+	}
+	return choice, &refusal{status: http.StatusServiceUnavailable, reason: rejection.Reason, retryAfter: rejection.RetryAfter}
+}
+
+func (q *request) balanceRequest(excluded map[string]bool) *balance.Request {
+	req := &balance.Request{Service: q.service, Excluded: excluded, Only: q.onlyTarget, MaxExpectedTTFB: q.maxFirstByteWait()}
+	service, ok := q.config.Services[q.service]
+	if !ok || !service.HasEngines || q.meta.Model == "" {
+		return req
+	}
+	req.Model = q.meta.Model
+	req.PromptTokens = q.meta.PromptTokens
+	req.CacheSalt = q.salt
+	req.SharedParts = q.meta.SharedParts()
+	req.Stores = q.config.CacheStores()
+	return req
+}
+
+// maxFirstByteWait returns the longest time to the first byte that is still
+// useful to the caller.
+func (q *request) maxFirstByteWait() time.Duration {
+	const minStreamWait = 2 * time.Second
+	if q.route.Kind == fleet.Stream {
+		return min(q.remaining(), max(minStreamWait, 4*q.route.FirstByteObjective))
+	}
+	return q.remaining()
+}
+
+// salt returns the cache salt, which separates the cache entries of weights
+// versions and of isolated accounts.
+func (q *request) salt(version int64) string {
+	salt := q.meta.Model + "/" + strconv.FormatInt(version, 10)
+	if q.account != nil && q.account.Isolated {
+		salt += "/" + q.account.Name
+	}
+	return salt
+}
--- /dev/null
+++ b/pkg/relay/dispatch.go
@@ -0,0 +1,324 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/balance"
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+const (
+	// firstByteSilenceFactor is the time without a first byte after which a second
+	// attempt of a repeatable request begins, as a multiple of the route's objective.
+	firstByteSilenceFactor = 3
+	// minFirstByteSilence is the lower bound of that time.
+	minFirstByteSilence = 500 * time.Millisecond
+	// streamSilence is the time without an event of a resumable stream after which a
+	// second attempt begins.
+	streamSilence = 1500 * time.Millisecond
+)
+
+// dispatcher runs the attempts of one request. Only the goroutine of the request's
+// handler uses it.
+//
+// At most two attempts run at a time: the active one, whose response goes to the
+// caller, and a standby, which begins when the active one's target is silent. A
+// silent target may be sound, so its attempt ends only when the standby has a
+// response; if the active attempt's response goes on first, the standby ends.
+type dispatcher struct {
+	q   *request
+	ctx context.Context
+	// excluded holds the IDs of the targets that may not be chosen again.
+	excluded map[string]bool
+	// countedAttempts is the number of attempts that have ended and count against
+	// the route's attempts.
+	countedAttempts int
+	uncounted       uncountedAttempts
+	// active is nil once the request has its final response.
+	active  *attempt
+	standby *attempt
+	// silence fires when the active attempt's target has been silent for too long.
+	silence    *time.Timer
+	controller *http.ResponseController
+}
+
+// sendWithRetries sends the request until an attempt yields the final response
+// or no further attempt is allowed.
+func (q *request) sendWithRetries(ctx context.Context) {
+	q.relay.Retries.RecordRequest(q.service, q.relay.Processes())
+	d := &dispatcher{
+		q: q, ctx: ctx, excluded: map[string]bool{},
+		silence: time.NewTimer(time.Hour), controller: http.NewResponseController(q.w),
+	}
+	// A handler that can't complete a response panics, so a deferred call ends the
+	// attempts.
+	defer d.close()
+	d.silence.Stop()
+	d.begin()
+	for d.active != nil {
+		d.next()
+	}
+}
+
+// next handles the next event of the request's attempts.
+func (d *dispatcher) next() {
+	var standbyEvents <-chan []byte
+	if d.standby != nil {
+		standbyEvents = d.standby.events
+	}
+	select {
+	case events, ok := <-d.active.events:
+		if ok {
+			d.relayEvents(events)
+			return
+		}
+		d.handleEnd()
+	case events, ok := <-standbyEvents:
+		if ok {
+			d.promoteStandby()
+			d.relayEvents(events)
+			return
+		}
+		d.handleStandbyEnd()
+	case <-d.silence.C:
+		d.beginStandby()
+	}
+}
+
+// close ends the attempts that are still running.
+func (d *dispatcher) close() {
+	d.silence.Stop()
+	for _, a := range []*attempt{d.active, d.standby} {
+		if a == nil {
+			continue
+		}
+		a.abandon(errSuperseded)
+		a.tracked.End(d.q.relay.Now(), balance.Cancelled)
+	}
+}
+
+// begin starts the next attempt, or refuses the request if no target can be chosen.
+func (d *dispatcher) begin() {
+	q := d.q
+	d.active = nil
+	if q.callerConnClosed() {
+		q.handleDisconnect(&attempt{})
+	}
+	choice, refusal := q.chooseTarget(d.excluded)
+	if refusal != nil {
+		q.refuse(*refusal)
+		return
+	}
+	d.active = q.beginAttempt(d.ctx, choice)
+	d.watchSilence()
+}
+
+// watchSilence restarts the timer for the next bytes of the active attempt. Only
+// repeatable requests may have a second attempt.
+func (d *dispatcher) watchSilence() {
+	route := &d.q.route
+	switch {
+	case !route.Retryable():
+		return
+	case d.active.hasEvents:
+		d.silence.Reset(streamSilence)
+	default:
+		d.silence.Reset(max(minFirstByteSilence, firstByteSilenceFactor*route.FirstByteObjective))
+	}
+}
+
+// beginStandby starts a second attempt at another target, if one is allowed. The
+// active attempt goes on.
+func (d *dispatcher) beginStandby() {
+	q := d.q
+	if d.countedAttempts+1 >= q.route.MaxAttempts || q.onlyTarget != "" || q.remaining() <= 0 {
+		d.logSilence("", "no_attempts_left")
+		return
+	}
+	d.excluded[d.active.choice.Target.ID] = true
+	choice, refusal := q.chooseTarget(d.excluded)
+	if refusal != nil {
+		d.logSilence("", refusal.reason)
+		d.watchSilence()
+		return
+	}
+	if !q.tryRetry() {
+		d.logSilence("", "retry_budget")
+		d.watchSilence()
+		return
+	}
+	d.logSilence(choice.Target.ID, "")
+	d.standby = q.beginAttempt(d.ctx, choice)
+}
+
+// logSilence logs that the active attempt's target is silent, and the target of the
+// second attempt or the reason why there is none.
+func (d *dispatcher) logSilence(standbyTarget, reason string) {
+	q := d.q
+	q.relay.Log.Log(eventlog.ResponseSilent, "request_id", q.meta.ID, "try", d.active.number, "target", d.active.choice.Target.ID,
+		"events", q.eventCount, "took_ms", (q.relay.Now() - d.active.startedAt).Milliseconds(),
+		"standby", standbyTarget, "reason", reason, "left_ms", q.remaining().Milliseconds())
+}
+
+// relayEvents writes complete events of the active attempt to the caller. The
+// standby is no longer needed then.
+func (d *dispatcher) relayEvents(events []byte) {
+	d.dropStandby()
+	a := d.active
+	a.hasEvents = true
+	if !d.q.writeEvents(a, d.controller, events) {
+		d.disconnect(a)
+	}
+	d.watchSilence()
+}
+
+// dropStandby ends the standby, since the active attempt's response goes on.
+func (d *dispatcher) dropStandby() {
+	if d.standby == nil {
+		return
+	}
+	a := d.standby
+	d.standby = nil
+	a.abandon(errSuperseded)
+	d.conclude(a)
+}
+
+// promoteStandby makes the standby the active attempt and ends the silent one.
+func (d *dispatcher) promoteStandby() {
+	silent := d.active
+	d.active, d.standby = d.standby, nil
+	silent.abandon(errTargetSilent)
+	d.countAttempt(silent, d.conclude(silent))
+}
+
+// conclude records how an attempt has ended and returns its outcome.
+func (d *dispatcher) conclude(a *attempt) outcome {
+	q := d.q
+	if a.panicValue != nil {
+		panic(a.panicValue)
+	}
+	a.endedBy = q.endReason(a.ctx)
+	result := a.result
+	if result != completed {
+		result = q.classifyOutcome(d.ctx, a, result)
+		q.logFailure(a, result)
+	}
+	a.cancel(nil)
+	a.tracked.End(q.relay.Now(), balanceResult(result))
+	q.lastTarget = a.choice.Target.ID
+	q.mayHaveRun = q.mayHaveRun || result.mayHaveRun(a)
+	return result
+}
+
+// countAttempt records an ended attempt and reports whether its outcome alone
+// allows another one: an attempt that did not reach its target doesn't count
+// against the route's attempts.
+func (d *dispatcher) countAttempt(a *attempt, result outcome) (allowsNext bool) {
+	switch result {
+	case notSent, addressReused, staleWeights:
+		// A target with another weights version stays a candidate, since the next
+		// attempt can expect the version that it has.
+		d.excluded[a.choice.Target.ID] = result != staleWeights
+		return d.uncounted.allowNext(result, d.q.tryRetry)
+	}
+	d.countedAttempts++
+	d.excluded[a.choice.Target.ID] = true
+	return false
+}
+
+// handleEnd handles the end of the active attempt.
+func (d *dispatcher) handleEnd() {
+	a := d.active
+	result := d.conclude(a)
+	switch {
+	case result == completed:
+		d.dropStandby()
+		d.deliver(a)
+	case result == callerDisconnected:
+		d.dropStandby()
+		d.q.handleDisconnect(a)
+	case result == deadlineExceeded:
+		d.dropStandby()
+		d.finish(a, result)
+	case d.standby != nil:
+		d.countAttempt(a, result)
+		d.active, d.standby = d.standby, nil
+		d.watchSilence()
+	default:
+		d.retryOrFinish(a, result)
+	}
+}
+
+// retryOrFinish starts another attempt after a failed one, or ends the request.
+func (d *dispatcher) retryOrFinish(a *attempt, result outcome) {
+	q := d.q
+	allowsNext := d.countAttempt(a, result)
+	reason, unreached := notRunReasons[result]
+	switch {
+	case allowsNext:
+		d.begin()
+	case unreached:
+		d.active = nil
+		q.refuse(q.notRunRefusal(reason))
+	case q.mayResend(result, d.countedAttempts):
+		d.begin()
+	case q.mayAskAgain(d.ctx, result):
+		q.onlyTarget = a.choice.Target.ID
+		d.begin()
+	default:
+		d.finish(a, result)
+	}
+}
+
+// finish ends the request after its last attempt.
+func (d *dispatcher) finish(a *attempt, result outcome) {
+	d.active = nil
+	d.q.finish(a, result)
+}
+
+// handleStandbyEnd handles the end of the standby before its first event.
+func (d *dispatcher) handleStandbyEnd() {
+	a := d.standby
+	d.standby = nil
+	result := d.conclude(a)
+	switch result {
+	case completed:
+		silent := d.active
+		d.active = a
+		silent.abandon(errTargetSilent)
+		d.conclude(silent)
+		d.deliver(a)
+	case callerDisconnected, deadlineExceeded:
+		// The active attempt ends for the same reason.
+	default:
+		if d.countAttempt(a, result) || d.countedAttempts+1 < d.q.route.MaxAttempts {
+			d.beginStandby()
+		}
+	}
+}
+
+// deliver writes the rest of a complete response to the caller.
+func (d *dispatcher) deliver(a *attempt) {
+	q := d.q
+	if q.route.Kind != fleet.Stream {
+		q.firstByte = q.relay.Now()
+		q.writeBuffered(a, a.body)
+	} else if !q.finishStream(a, d.controller) {
+		d.disconnect(a)
+	}
+	d.active = nil
+}
+
+// disconnect ends the request of a caller that can't be written to.
+func (d *dispatcher) disconnect(a *attempt) {
+	q := d.q
+	a.abandon(errCallerLeft)
+	a.endedBy = errCallerLeft
+	q.mayHaveRun = true
+	q.logFailure(a, callerDisconnected)
+	a.tracked.End(q.relay.Now(), balance.Cancelled)
+	q.handleDisconnect(a)
+}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -1,9 +1,6 @@
 package relay
 
 import (
-	"context"
-	"time"
-
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/call"
@@ -12,15 +9,15 @@
 )
 
 // roundTrip connects to the target, sends the request and handles the response.
-func (q *request) roundTrip(ctx context.Context, a *attempt, stall *time.Timer) outcome {
+func (q *request) roundTrip(a *attempt) outcome {
 	relay := q.relay
 	target := &a.choice.Target
-	conn, err := relay.Pools.Get(ctx, target, q.connLimit())
+	conn, err := relay.Pools.Get(a.ctx, target, q.connLimit())
 	if err != nil {
 		a.err = err
 		return notSent
 	}
-	exchange, sent, err := conn.Send(ctx, &targetconn.Request{
+	exchange, sent, err := conn.Send(a.ctx, &targetconn.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: relay.Codec.ForwardHeader(q.r.Header, q.forwardFields(a)), Body: q.body,
 	})
@@ -47,7 +44,7 @@
 	if a.responseMeta.WeightsVersion > 0 {
 		relay.Balancer.RecordVersion(target.Boot(), q.meta.Model, a.responseMeta.WeightsVersion)
 	}
-	return q.handleResponse(a, stall)
+	return q.handleResponse(a)
 }
 
 // recordTargetRequests records that the target wants no further requests, because
@@ -82,16 +79,13 @@
 		TargetID:    a.choice.Target.ID,
 		Deadline:    q.remaining(),
 		Account:     q.accountName(),
-		LastEventID: q.meta.LastEventID,
+		LastEventID: a.resumeFrom,
 		HasPriority: true,
 		Priority:    min(9, max(0, q.route.Priority)),
 	}
 	if q.account != nil && q.account.HasPriority {
 		fields.Priority = min(9, max(0, q.account.Priority))
 	}
-	if q.lastEventID != "" {
-		fields.LastEventID = q.lastEventID
-	}
 	if a.choice.CacheSalt == "" {
 		fields.HasPriority = false
 		return fields
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -8,6 +8,15 @@
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 )
 
+// notRunRetryAfter is the Retry-After value of a refused request that no target ran,
+// for example because a target was full.
+const notRunRetryAfter = 100 * time.Millisecond
+
+// notRunReasons holds the refusal reasons of requests that no target ran.
+var notRunReasons = map[outcome]string{
+	notSent: "targets_unreachable", addressReused: "targets_unreachable", staleWeights: "weights_changed",
+}
+
 // refusal is a response that the relay generates itself.
 type refusal struct {
 	status int
@@ -70,3 +79,41 @@
 	}
 	return q.config.Version
 }
+
+// finish writes the final response after the last attempt.
+func (q *request) finish(a *attempt, result outcome) {
+	switch result {
+	case notRun:
+		q.refuse(q.notRunRefusal("target_full"))
+	case targetError:
+		q.writeErrorResponse(a)
+	case deadlineExceeded:
+		q.refuse(refusal{status: http.StatusGatewayTimeout, reason: q.timeoutReason(), mayHaveRun: a.sent})
+	default:
+		q.refuse(refusal{status: http.StatusBadGateway, reason: "target_failed", mayHaveRun: true})
+	}
+}
+
+// timeoutReason returns the refusal reason for a request that ran out of time.
+func (q *request) timeoutReason() string {
+	if q.relay.DrainExpired.Err() != nil {
+		return "stopping"
+	}
+	return "deadline"
+}
+
+func (q *request) notRunRefusal(reason string) refusal {
+	return refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: notRunRetryAfter}
+}
+
+// handleDisconnect records that the caller disconnected and aborts the handler
+// with a panic. Tokens are refunded unless a completed attempt may have run.
+func (q *request) handleDisconnect(a *attempt) {
+	if !q.mayHaveRun {
+		q.refund()
+	}
+	q.relay.instruments.disconnected.Inc(1)
+	q.relay.Log.Log(eventlog.CallerLeft, "request_id", q.meta.ID, "route", q.route.Name,
+		"target", a.choice.Target.ID, "total_ms", (q.relay.Now() - q.startedAt).Milliseconds())
+	panic(http.ErrAbortHandler)
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/sockstate"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
@@ -88,6 +89,14 @@
 	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
+// callerConnClosed reports whether the caller closed its connection before the
+// request was forwarded. http.Server detects a close only while a handler runs,
+// so it may not have detected the close for a request that was queued unread.
+func (q *request) callerConnClosed() bool {
+	conn, ok := q.r.Context().Value(callerConnKey{}).(net.Conn)
+	return ok && sockstate.Of(conn) == sockstate.Closed
+}
+
 // request is the state of a caller's request in progress.
 type request struct {
 	relay   *Relay
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -9,50 +10,33 @@
 	"github.com/juju/errors"
 )
 
-const (
-	// streamStallTimeout is the longest gap between the events of a resumable
-	// stream before it is resumed at another target.
-	streamStallTimeout = 1500 * time.Millisecond
-	// callerWriteTimeout bounds a write of stream events to the caller.
-	callerWriteTimeout = 5 * time.Second
-)
+// callerWriteTimeout bounds a write of stream events to the caller.
+const callerWriteTimeout = 5 * time.Second
 
 // errStreamInterrupted indicates that a target's stream ended prematurely.
 const errStreamInterrupted = errors.ConstError("stream interrupted")
 
-// relayStream forwards only complete events of a stream. A truncated event is
-// never forwarded, so that the stream can be resumed at another target.
-func (q *request) relayStream(a *attempt, stall *time.Timer) outcome {
+// readStream hands only complete events of a stream to the handler. A truncated
+// event is never forwarded, so that the stream can be resumed at another target.
+func (q *request) readStream(a *attempt) outcome {
 	reader := newEventReader(a.exchange.Response.Body)
-	controller := http.NewResponseController(q.w)
 	for {
 		events, err := reader.next()
-		if len(events) > 0 {
-			if !q.writeEvents(a, controller, events) {
-				a.exchange.Finish(false)
-				return callerDisconnected
-			}
-			q.resetStallTimer(stall)
+		if len(events) > 0 && !a.deliverEvents(bytes.Clone(events)) {
+			a.exchange.Finish(false)
+			a.err = context.Cause(a.ctx)
+			return failed
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return q.finishStream(a, controller)
+			a.exchange.Finish(true)
+			return completed
 		case err != nil:
 			return q.failStream(a, err)
 		}
 	}
 }
 
-// resetStallTimer restarts the timeout for the next event. A stream that can't
-// be resumed may stall until the request's deadline.
-func (q *request) resetStallTimer(stall *time.Timer) {
-	if q.route.Retryable() {
-		stall.Reset(streamStallTimeout)
-		return
-	}
-	stall.Reset(q.remaining() + 2*deadlineGrace)
-}
-
 // writeEvents writes complete events to the caller and reports whether the write
 // succeeded.
 func (q *request) writeEvents(a *attempt, controller *http.ResponseController, events []byte) bool {
@@ -92,14 +76,15 @@
 	}
 }
 
-func (q *request) finishStream(a *attempt, controller *http.ResponseController) outcome {
-	a.exchange.Finish(true)
+// finishStream ends the response of a complete stream and reports whether the
+// caller could be written to.
+func (q *request) finishStream(a *attempt, controller *http.ResponseController) bool {
 	q.writeResponseHeader(a, q.relay.Now())
 	if controller.Flush() != nil {
-		return callerDisconnected
+		return false
 	}
 	q.logDelivered(a)
-	return delivered
+	return true
 }
 
 // failStream ends an attempt whose stream was interrupted. A partially forwarded
