Let a begun stream wait for a target instead of closing it in the middle

What callers saw: a resumable stream was closed in the middle, with time left, because at the moment at which its target broke off no other could be chosen: the only one had just failed, had asked for a pause, or all were loading weights.

Cause: a refusal by the balancer ended the request at once. Before the first event that is right: the caller is told when to come back. Once it has a part of the stream it can be told nothing, so the refusal became a closed connection. Same class as the silence timer: an answer is given up although its time is not over.

Now a begun stream chooses again each 100 ms while time is left, also among targets that failed it before. Asking the same target again is no further target for the route's attempts, and each attempt still takes from the retry budget.

Not changed: a retry budget that is used up still ends a begun stream.

--- a/pkg/relay/attemptlimits.go
+++ b/pkg/relay/attemptlimits.go
@@ -14,8 +14,8 @@
 	// target or other weights.
 	maxUnsentAttempts      = 12
 	maxMisdirectedAttempts = 4
-	// resumeRetryDelay is the delay before a target that rejected the continuation
-	// of a stream is asked again.
+	// resumeRetryDelay is the delay before a begun stream is continued at a target that
+	// rejected it, or before a target for it is chosen again.
 	resumeRetryDelay = 100 * time.Millisecond
 )
 
@@ -51,14 +51,22 @@
 }
 
 // mayAskAgain reports whether the target that rejected the continuation of a
-// stream may be asked again, and waits a moment if so. The caller of a stream that
-// has begun can't be told to come back, and asking the same target again does not
-// count as a further attempt.
+// stream may be asked again, and waits a moment if so. Asking the same target again
+// does not count as a further attempt.
 func (q *request) mayAskAgain(ctx context.Context, result outcome) bool {
-	if result != notRun || !q.wroteHeader || q.remaining() <= 2*resumeRetryDelay || !q.tryRetry() {
-		return false
-	}
-	return clock.Sleep(ctx, resumeRetryDelay)
+	return result == notRun && q.wroteHeader && q.hasTimeToWait() && q.tryRetry() && clock.Sleep(ctx, resumeRetryDelay)
+}
+
+// mayWaitForTarget reports whether a target for the rest of a stream may be chosen
+// again, and waits a moment if so. The caller of a stream that has begun can't be
+// told to come back.
+func (q *request) mayWaitForTarget(ctx context.Context) bool {
+	return q.wroteHeader && q.hasTimeToWait() && clock.Sleep(ctx, resumeRetryDelay)
+}
+
+// hasTimeToWait reports whether a continuation could begin in time after a wait.
+func (q *request) hasTimeToWait() bool {
+	return q.remaining() > 2*resumeRetryDelay
 }
 
 func (q *request) tryRetry() bool {
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -108,6 +108,11 @@
 		q.handleDisconnect(&attempt{})
 	}
 	choice, refusal := q.chooseTarget(d.excluded)
+	for refusal != nil && q.mayWaitForTarget(d.ctx) {
+		// A target that failed before may continue the stream now.
+		clear(d.excluded)
+		choice, refusal = q.chooseTarget(d.excluded)
+	}
 	if refusal != nil {
 		q.refuse(*refusal)
 		return
