Count a second attempt that was not needed; let targets already asked continue

The second attempt beside a silent one was not counted when the first went on, so that a request whose target paused twice could reach more targets than its route allows.

Counting alone would leave a stream without a target that may continue it once both attempts are used. The route limits the targets, not the times that one is asked: the target of the latest attempt that this process ended itself may be asked again, within the retry budget.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -57,7 +57,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	relay.instruments.attempts.Inc(1)
-	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(nil), &a.choice)
+	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(), &a.choice)
 	q.logBegin(a)
 	go q.runAttempt(a)
 	return a
--- a/pkg/relay/attemptlimits.go
+++ b/pkg/relay/attemptlimits.go
@@ -50,6 +50,12 @@
 	return q.tryRetry()
 }
 
+// mayRepeat reports whether the request may be sent again to a target that it has
+// been sent to. It consumes one retry of the service's budget if so.
+func (q *request) mayRepeat() bool {
+	return q.route.Retryable() && q.remaining() > 0 && q.tryRetry()
+}
+
 // mayAskAgain reports whether the target that rejected the continuation of a
 // stream may be asked again, and waits a moment if so. Asking the same target again
 // does not count as a further attempt.
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -9,10 +9,12 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// chooseTarget selects the next target, or returns a refusal if there is none.
-func (q *request) chooseTarget(excluded map[string]bool) (balance.Choice, *refusal) {
+// chooseTarget selects the next target, or returns a refusal if there is none. only,
+// if set, is the ID of the only target that may be chosen.
+func (q *request) chooseTarget(excluded map[string]bool, only string) (balance.Choice, *refusal) {
 	relay := q.relay
-	req := q.balanceRequest(excluded)
+	req := q.balanceRequest()
+	req.Excluded, req.Only = excluded, only
 	choice, rejection := relay.Balancer.Pick(relay.Now(), req, relay.Targets())
 	if rejection == nil {
 		return choice, nil
@@ -23,8 +25,8 @@
 	return choice, &refusal{status: http.StatusServiceUnavailable, reason: rejection.Reason, retryAfter: rejection.RetryAfter}
 }
 
-func (q *request) balanceRequest(excluded map[string]bool) *balance.Request {
-	req := &balance.Request{Service: q.service, Excluded: excluded, Only: q.onlyTarget, MaxExpectedTTFB: q.maxFirstByteWait()}
+func (q *request) balanceRequest() *balance.Request {
+	req := &balance.Request{Service: q.service, MaxExpectedTTFB: q.maxFirstByteWait()}
 	service, ok := q.config.Services[q.service]
 	if !ok || !service.HasEngines || q.meta.Model == "" {
 		return req
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -40,6 +40,12 @@
 	// active is nil once the request has its final response.
 	active  *attempt
 	standby *attempt
+	// onlyTarget, if set, is the only target that the request may still be sent to.
+	onlyTarget string
+	// spareTarget is the target of the latest attempt that this process ended because
+	// another one had a response first. It counts against the route's attempts already,
+	// so that it may be sent the request again.
+	spareTarget string
 	// silence fires when the active attempt's target has been silent for too long.
 	silence    *time.Timer
 	controller *http.ResponseController
@@ -107,11 +113,11 @@
 	if q.callerConnClosed() {
 		q.handleDisconnect(&attempt{})
 	}
-	choice, refusal := q.chooseTarget(d.excluded)
+	choice, refusal := q.chooseTarget(d.excluded, d.onlyTarget)
 	for refusal != nil && q.mayWaitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
 		clear(d.excluded)
-		choice, refusal = q.chooseTarget(d.excluded)
+		choice, refusal = q.chooseTarget(d.excluded, d.onlyTarget)
 	}
 	if refusal != nil {
 		q.refuse(*refusal)
@@ -139,24 +145,28 @@
 // active attempt goes on.
 func (d *dispatcher) beginStandby() {
 	q := d.q
-	if d.countedAttempts+1 >= q.route.MaxAttempts || q.onlyTarget != "" || q.remaining() <= 0 {
+	only := ""
+	if d.countedAttempts+1 >= q.route.MaxAttempts {
+		only = d.spareTarget
+	}
+	if q.remaining() <= 0 || (only == "" && d.countedAttempts+1 >= q.route.MaxAttempts) {
 		d.logSilence("", "no_attempts_left")
 		return
 	}
 	d.excluded[d.active.choice.Target.ID] = true
-	choice, refusal := q.chooseTarget(d.excluded)
-	if refusal != nil {
+	choice, refusal := q.chooseTarget(d.excluded, only)
+	switch {
+	case refusal != nil:
 		d.logSilence("", refusal.reason)
 		d.watchSilence()
-		return
-	}
-	if !q.tryRetry() {
+	case !q.tryRetry():
 		d.logSilence("", "retry_budget")
 		d.watchSilence()
-		return
+	default:
+		d.logSilence(choice.Target.ID, "")
+		d.spareTarget = ""
+		d.standby = q.beginAttempt(d.ctx, choice)
 	}
-	d.logSilence(choice.Target.ID, "")
-	d.standby = q.beginAttempt(d.ctx, choice)
 }
 
 // logSilence logs that the active attempt's target is silent, and the target of the
@@ -188,7 +198,8 @@
 	a := d.standby
 	d.standby = nil
 	a.abandon(errSuperseded)
-	d.conclude(a)
+	d.countAttempt(a, d.conclude(a))
+	d.keepSpare(a)
 }
 
 // promoteStandby makes the standby the active attempt and ends the silent one.
@@ -197,6 +208,14 @@
 	d.active, d.standby = d.standby, nil
 	silent.abandon(errTargetSilent)
 	d.countAttempt(silent, d.conclude(silent))
+	d.keepSpare(silent)
+}
+
+// keepSpare remembers the target of an attempt that this process ended.
+func (d *dispatcher) keepSpare(a *attempt) {
+	if a.sent {
+		d.spareTarget = a.choice.Target.ID
+	}
 }
 
 // conclude records how an attempt has ended and returns its outcome.
@@ -228,6 +247,10 @@
 		// attempt can expect the version that it has.
 		d.excluded[a.choice.Target.ID] = result != staleWeights
 		return d.uncounted.allowNext(result, d.q.tryRetry)
+	case superseded:
+		if !a.sent {
+			return false
+		}
 	}
 	d.countedAttempts++
 	d.excluded[a.choice.Target.ID] = true
@@ -270,8 +293,11 @@
 		q.refuse(q.notRunRefusal(reason))
 	case q.mayResend(result, d.countedAttempts):
 		d.begin()
+	case d.spareTarget != "" && q.mayRepeat():
+		d.onlyTarget, d.spareTarget = d.spareTarget, ""
+		d.begin()
 	case q.mayAskAgain(d.ctx, result):
-		q.onlyTarget = a.choice.Target.ID
+		d.onlyTarget = a.choice.Target.ID
 		d.begin()
 	default:
 		d.finish(a, result)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -115,8 +115,6 @@
 	attempts  int
 	// mayHaveRun is set if a completed attempt may have run.
 	mayHaveRun bool
-	// onlyTarget, if set, is the only target that the request may still be sent to.
-	onlyTarget string
 	// lastTarget is the target of the last completed attempt.
 	lastTarget string
 	// wroteHeader is set once the response header has been written to the
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -37,12 +37,14 @@
 
 // Pools holds the connections to all targets. It is safe for concurrent use.
 type Pools struct {
+	dial   Dialer
 	mu     sync.Mutex
 	byBoot map[fleet.Boot]*pool
 }
 
 // pool holds the connections to one run of a target.
 type pool struct {
+	dial      Dialer
 	mu        sync.Mutex
 	address   string
 	idleConns []*Conn
@@ -53,7 +55,15 @@
 
 // NewPools returns Pools without connections.
 func NewPools() *Pools {
-	return &Pools{byBoot: map[fleet.Boot]*pool{}}
+	return NewPoolsWithDialer(dialTCP)
+}
+
+// Dialer opens a connection to a target's address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// NewPoolsWithDialer returns Pools whose connections come from dial.
+func NewPoolsWithDialer(dial Dialer) *Pools {
+	return &Pools{dial: dial, byBoot: map[fleet.Boot]*pool{}}
 }
 
 // Get returns an idle connection to a target, or opens one if fewer than limit
@@ -63,7 +73,7 @@
 	if conn != nil || err != nil {
 		return conn, err
 	}
-	conn, err = pl.dial(ctx)
+	conn, err = pl.connect(ctx)
 	if err != nil {
 		pl.release()
 		return nil, errors.Annotatef(err, "connecting to target %s", target.ID)
@@ -104,7 +114,7 @@
 	boot := target.Boot()
 	pl, ok := p.byBoot[boot]
 	if !ok {
-		pl = &pool{address: target.Address}
+		pl = &pool{dial: p.dial, address: target.Address}
 		p.byBoot[boot] = pl
 	}
 	return pl
@@ -179,7 +189,15 @@
 	return true
 }
 
-func (p *pool) dial(ctx context.Context) (*Conn, error) {
+func (p *pool) connect(ctx context.Context) (*Conn, error) {
+	socket, err := p.dial(ctx, p.address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Conn{pool: p, socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -187,11 +205,8 @@
 		},
 		Control: setTCPUserTimeout,
 	}
-	conn, err := dialer.DialContext(ctx, "tcp", p.address)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return &Conn{pool: p, socket: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	return conn, errors.Trace(err)
 }
 
 // setTCPUserTimeout sets TCP_USER_TIMEOUT, which bounds the time for which sent
