Write the final response before the caller stops waiting

What callers saw: a request whose target never answered ended with nothing at the caller's own deadline, where that is no longer than the route's timeout: neither an answer nor a refusal.

Cause: the process waited for the target until 60 ms after the deadline, so that the target's own response could arrive, and answered 504 then. The caller had left.

Now a request of whose response nothing has been written gets its 504 50 ms before the end of its caller's wait (a tenth of it, if that is less). A begun stream goes on to the deadline: nothing else can be written to its caller. The route's timeout is as it was.

Evidence: TestFinalResponseBeforeCallerLeaves (virtual time) before: no response, connection ended; now 504 at the deadline less 50 ms. Cost: an answer that would come within the last 50 ms is not delivered.

--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -19,6 +19,11 @@
 	// streamSilence is the time without an event of a resumable stream after which a
 	// second attempt begins.
 	streamSilence = 1500 * time.Millisecond
+	// finalResponseLead is the time by which the final response to a request without a
+	// usable one precedes the end of its caller's wait, so that it still arrives.
+	finalResponseLead = 50 * time.Millisecond
+	// minLeadDivisor bounds that time by a part of the caller's wait.
+	minLeadDivisor = 10
 )
 
 // dispatcher runs the attempts of one request. Only the goroutine of the request's
@@ -47,8 +52,10 @@
 	// so that it may be sent the request again.
 	spareTarget string
 	// silence fires when the active attempt's target has been silent for too long.
-	silence    *time.Timer
-	controller *http.ResponseController
+	silence *time.Timer
+	// callerLeaves fires shortly before the caller stops waiting.
+	callerLeaves *time.Timer
+	controller   *http.ResponseController
 }
 
 // sendWithRetries sends the request until an attempt yields the final response
@@ -57,7 +64,8 @@
 	q.relay.Retries.RecordRequest(q.service, q.relay.Processes())
 	d := &dispatcher{
 		q: q, ctx: ctx, excluded: map[string]bool{},
-		silence: time.NewTimer(time.Hour), controller: http.NewResponseController(q.w),
+		silence: time.NewTimer(time.Hour), callerLeaves: time.NewTimer(q.untilCallerLeaves()),
+		controller: http.NewResponseController(q.w),
 	}
 	// A handler that can't complete a response panics, so a deferred call ends the
 	// attempts.
@@ -91,12 +99,41 @@
 		d.handleStandbyEnd()
 	case <-d.silence.C:
 		d.beginStandby()
+	case <-d.callerLeaves.C:
+		d.answerBeforeCallerLeaves()
 	}
 }
 
+// untilCallerLeaves returns the time until the final response has to be written for
+// a caller that stops waiting at its own deadline.
+func (q *request) untilCallerLeaves() time.Duration {
+	wait := q.meta.Deadline
+	if wait <= 0 {
+		return q.remaining() + 2*deadlineGrace
+	}
+	return q.startedAt + wait - min(finalResponseLead, wait/minLeadDivisor) - q.relay.Now()
+}
+
+// answerBeforeCallerLeaves ends a request whose response has not begun. A begun
+// stream goes on, since nothing else can be written to its caller.
+func (d *dispatcher) answerBeforeCallerLeaves() {
+	if d.q.wroteHeader {
+		return
+	}
+	d.dropStandby()
+	a := d.active
+	a.abandon(errDeadlineExceeded)
+	if d.conclude(a) == completed && d.q.route.Kind != fleet.Stream {
+		d.deliver(a)
+		return
+	}
+	d.finish(a, deadlineExceeded)
+}
+
 // close ends the attempts that are still running.
 func (d *dispatcher) close() {
 	d.silence.Stop()
+	d.callerLeaves.Stop()
 	for _, a := range []*attempt{d.active, d.standby} {
 		if a == nil {
 			continue
--- a/pkg/relay/outcome.go
+++ b/pkg/relay/outcome.go
@@ -84,13 +84,13 @@
 		a.sent = result.mayHaveRun(a)
 		return callerDisconnected
 	}
-	if result == failed && ctx.Err() != nil {
+	if result == failed && (ctx.Err() != nil || errors.Is(a.endedBy, errDeadlineExceeded)) {
 		return deadlineExceeded
 	}
 	if (result == failed || result == notSent) && errors.Is(a.endedBy, errSuperseded) {
 		return superseded
 	}
-	if result == notSent && q.remaining() <= 0 {
+	if result == notSent && (q.remaining() <= 0 || errors.Is(a.endedBy, errDeadlineExceeded)) {
 		a.sent = false
 		return deadlineExceeded
 	}
