Count the requests that a stop leaves unanswered

What callers saw: a request on an open connection got no answer; the process logged nothing about it, and `stopped` said cut_requests 0 (one trial: sent at 29.821 s, closed at 29.927 s, `stopped` at 32.587 s).

Cause: `stopped` wrote the constant 0 whenever net/http's Shutdown returned no error, and Shutdown returns none for connections that it takes for idle. No line was written when a connection was closed on an unread, half-read or unfinished request.

Change: package callerserver follows the phase of each caller's connection (waiting, reading_header, received, handling, answered). A connection that is closed on an unanswered request is logged as caller_cut (906) with the phase, whether bytes are unread, and the request's ID if its handler had begun. cut_requests counts these from the start of the drain on.

Evidence: TestCutRequestsAreCounted failed on: callerconn_test.go: Expected log to contain '"cut_requests":1' (log: {"err":"waiting for requests: context deadline exceeded",..., "name":"stopped"}) - and passes now.

Not changed: which connections a stop closes, and when.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -124,6 +124,8 @@
 	overdueDetector *overdueConfigDetector
 
 	stopping atomic.Bool
+	// cutRequests is the number of requests that the drain left unanswered.
+	cutRequests int64
 	// drainExpired is cancelled by expireDrain when the requests still in
 	// progress must be answered without waiting for their targets.
 	drainExpired context.Context
@@ -215,9 +217,8 @@
 		err = closeErr
 	}
 	wg.Wait()
-	if err == nil {
-		// The shutdown returned no error, so all requests have completed.
-		e.log.Log(eventlog.Stopped, "cut_requests", 0)
+	if e.stopping.Load() {
+		e.log.Log(eventlog.Stopped, "cut_requests", e.cutRequests)
 	} else {
 		e.log.Log(eventlog.Stopped, "err", err)
 	}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 
+	"github.com/baobabhub/baobabhub/pkg/callerserver"
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/relay"
@@ -23,11 +24,9 @@
 	// finalResponseTimeout is the time that the remaining requests then have to
 	// write their final responses.
 	finalResponseTimeout = 500 * time.Millisecond
-	// defaultHeaderTimeout and defaultIdleTimeout are set when the server starts,
-	// before a configuration is known.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 60 * time.Second
-	maxHeaderBytes       = 64 << 10
+	// headerTimeout is the longest time for the header of a readiness check or of a
+	// request for metrics.
+	headerTimeout = 5 * time.Second
 )
 
 // readiness holds the conditions under which the process accepts callers.
@@ -46,14 +45,14 @@
 // remain near the end of the grace period get a response without waiting for
 // their targets.
 func (e *Entry) serve(stopCtx context.Context) error {
-	callers := &http.Server{
-		Handler: e.relay, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: relay.ConnContext,
-	}
-	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
-	metrics := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: defaultHeaderTimeout}
+	callers := callerserver.New(callerserver.Config{
+		Handler: e.relay, ConnContext: relay.ConnContext, Log: e.log,
+		RequestID: func(header http.Header) string { return e.platform.Codec.DecodeRequest(header).ID },
+	})
+	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	metrics := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	serveErrors := make(chan error, 3)
-	start := func(server *http.Server, address string) error {
+	start := func(server acceptor, address string) error {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return errors.Annotatef(err, "listening on %s", address)
@@ -84,7 +83,12 @@
 	return e.drain(callers, ready, metrics)
 }
 
-func (e *Entry) drain(callers, ready, metrics *http.Server) error {
+// acceptor is a server that serves the connections of a listener.
+type acceptor interface {
+	Serve(listener net.Listener) error
+}
+
+func (e *Entry) drain(callers *callerserver.Server, ready, metrics *http.Server) error {
 	startedAt := time.Now()
 	e.stopping.Store(true)
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
@@ -95,11 +99,14 @@
 	defer expireTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalResponseTimeout))
 	defer cancel()
-	err := callers.Shutdown(ctx)
+	e.cutRequests = callers.Drain(ctx)
 	// Readiness checks and metrics need no graceful shutdown.
 	_ = ready.Close()
 	_ = metrics.Close()
-	return errors.Annotate(err, "waiting for requests")
+	if e.cutRequests > 0 {
+		return errors.Errorf("%d requests were cut at the end of the grace period", e.cutRequests)
+	}
+	return nil
 }
 
 func (e *Entry) readyHandler() http.Handler {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -14,6 +14,10 @@
 		[]string{"request_id", "route", "target", "events", "total_ms", "err"}}
 	CallerLeft = Event{905, "caller_left", "A caller closed its connection before the answer was complete; the request was cancelled at the target.",
 		[]string{"request_id", "route", "target", "total_ms"}}
+	// CallerCut covers a request that the process has not read completely. The
+	// request ID is empty unless the handler had begun.
+	CallerCut = Event{906, "caller_cut", "The process closed a caller's connection on an unanswered request: one that it had not read, had read in part, or was handling.",
+		[]string{"remote", "request_id", "phase", "unread", "phase_ms"}}
 	ConfigInForce = Event{910, "config_in_force", "A newer configuration is now in force.",
 		[]string{"version", "was"}}
 	ConfigRejected = Event{911, "config_rejected", "A configuration or a weights version could not be decoded.",
@@ -51,7 +55,7 @@
 )
 
 var entryEvents = []Event{
-	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft,
+	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft, CallerCut,
 	ConfigInForce, ConfigRejected, TargetListed, TargetRemoved, TargetUnreadable, StoreLost, StoreRegained,
 	PeerHeard, PeerSilent, MembersChanged, LeaseLost, LeaderGained, LeaderLost, WeightsNamed, OrderSent,
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
