Callers' timeouts and header size follow the configuration in force

What callers saw: with a configured header timeout above 5 s, a header that arrived within it was answered with 400, or the connection closed; with an idle timeout above 60 s, a connection was closed under a request that its caller was still allowed to send; with max_header_bytes above 64 KiB, a header within it was refused with 431.

Cause: header_timeout_ms, idle_timeout_ms and max_header_bytes were decoded and used nowhere. The server kept 5 s, 60 s and 64 KiB.

Ruled out: setting http.Server's fields, which may not be changed while it serves; they also aren't evaluated again for a connection that waits.

Fix: the connection computes its read deadline from the configuration in force at the time and again when the deadline passes, so a longer timeout also applies to connections that are open. A new connection without a byte has the idle timeout. The server's own bound on headers is 1 MiB. Without a configured value the former values apply.

--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -50,6 +50,8 @@
 	since time.Time
 	// requestID is the ID of the latest request that the handler received.
 	requestID string
+	// headerBytes is the number of bytes read since the phase waiting ended.
+	headerBytes int
 	// handlerDeadline is the read deadline while a handler runs.
 	handlerDeadline time.Time
 	closed          bool
@@ -60,8 +62,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
-		if n > 0 {
-			c.recordRead()
+		if !c.recordRead(n) {
+			c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+			return 0, net.ErrClosed
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
@@ -74,15 +77,22 @@
 	}
 }
 
-func (c *conn) recordRead() {
+// recordRead records that n bytes were read. It reports whether the header is within
+// its limit.
+func (c *conn) recordRead(n int) bool {
+	if n == 0 {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == waiting {
+		c.headerBytes = 0
 		c.beginPhase(readingHeader)
-		return
 	}
+	c.headerBytes += n
 	// extendDeadline may have removed the deadline.
 	_ = c.setDeadline()
+	return c.phase != readingHeader || c.headerBytes <= c.server.headerBytes()
 }
 
 // SetReadDeadline implements net.Conn. The deadline applies while a handler runs.
@@ -112,13 +122,13 @@
 	drain := c.server.drainTimes()
 	switch c.phase {
 	case waiting:
-		deadline := c.since.Add(defaultIdleTimeout)
+		deadline := c.since.Add(c.server.idleTimeout())
 		if drain.startedAt.IsZero() {
 			return deadline
 		}
 		return earlier(deadline, later(c.since, drain.startedAt).Add(drainLinger))
 	case readingHeader:
-		deadline := c.since.Add(defaultHeaderTimeout)
+		deadline := c.since.Add(c.server.headerTimeout())
 		if drain.refuseAt.IsZero() {
 			return deadline
 		}
--- a/pkg/callerserver/conn_test.go
+++ b/pkg/callerserver/conn_test.go
@@ -1,17 +1,27 @@
 package callerserver
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
 )
 
+// newTestServer returns a server without a handler.
+func newTestServer(limits fleet.ClientLimits) *Server {
+	return New(Config{Log: eventlog.Discard(), Limits: func() fleet.ClientLimits { return limits }})
+}
+
 // connPair returns a server's connection and its caller's end.
 func connPair(t *testing.T, server *Server) (*conn, net.Conn) {
 	t.Helper()
@@ -47,7 +57,7 @@
 // the process was not scheduled between its arrival and the connection's deadline.
 func TestUnreadRequestAtDeadline(t *testing.T) {
 	longAgo := time.Now().Add(-time.Hour)
-	server := func() *Server { return New(Config{Log: eventlog.Discard()}) }
+	server := func() *Server { return newTestServer(fleet.ClientLimits{}) }
 	readAfterDeadline := func(c *conn, caller net.Conn) string {
 		_, err := io.WriteString(caller, "request")
 		So(err, ShouldBeNil)
@@ -87,3 +97,35 @@
 		So(err, ShouldEqual, io.EOF)
 	})
 }
+
+// TestLimitsInForce guards against a connection that is closed by limits which are
+// no longer in force, or without an answer.
+func TestLimitsInForce(t *testing.T) {
+	Convey("A longer timeout applies to connections that are open", t, func() {
+		var limits atomic.Pointer[fleet.ClientLimits]
+		limits.Store(&fleet.ClientLimits{IdleTimeout: 100 * time.Millisecond})
+		s := New(Config{Log: eventlog.Discard(), Limits: func() fleet.ClientLimits { return *limits.Load() }})
+		c, caller := connPair(t, s)
+		limits.Store(&fleet.ClientLimits{IdleTimeout: time.Hour})
+		time.AfterFunc(300*time.Millisecond, func() { _, _ = io.WriteString(caller, "request") })
+		n, err := c.Read(make([]byte, 64))
+		So(err, ShouldBeNil)
+		So(n, ShouldEqual, len("request"))
+	})
+	Convey("A header beyond the limit is refused", t, func() {
+		c, caller := connPair(t, newTestServer(fleet.ClientLimits{HeaderBytes: 1000}))
+		go func() { _, _ = io.WriteString(caller, strings.Repeat("x", 1001+readAheadBytes)) }()
+		status := make(chan int, 1)
+		go func() {
+			resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err == nil {
+				_ = resp.Body.Close()
+				status <- resp.StatusCode
+			}
+			_ = caller.Close()
+		}()
+		_, err := io.Copy(io.Discard, struct{ io.Reader }{c})
+		So(err, ShouldEqual, net.ErrClosed)
+		So(<-status, ShouldEqual, http.StatusRequestHeaderFieldsTooLarge)
+	})
+}
--- a/pkg/callerserver/drain_test.go
+++ b/pkg/callerserver/drain_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/callerserver"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
 // patience is the longest time that a test waits for the server.
@@ -20,11 +21,16 @@
 
 const wholeRequest = "POST / HTTP/1.1\r\nHost: h\r\nId: request-1\r\nContent-Length: 0\r\n\r\n"
 
-// newServer returns a server with the given handler .
+// newServer returns a server with the given handler.
 func newServer(handler http.HandlerFunc, log *eventlog.Logger) *callerserver.Server {
+	return newLimitedServer(handler, log, fleet.ClientLimits{})
+}
+
+func newLimitedServer(handler http.HandlerFunc, log *eventlog.Logger, limits fleet.ClientLimits) *callerserver.Server {
 	return callerserver.New(callerserver.Config{
 		Handler: handler, Log: log,
 		RequestID: func(header http.Header) string { return header.Get("Id") },
+		Limits:    func() fleet.ClientLimits { return limits },
 	})
 }
 
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -17,14 +17,12 @@
 
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
 const (
-	// defaultHeaderTimeout and defaultIdleTimeout apply before a configuration is
-	// known.
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 60 * time.Second
-	maxHeaderBytes       = 64 << 10
+	// maxHeaderBytes bounds a request's header if the configured limit is larger.
+	maxHeaderBytes = 1 << 20
 	// drainLinger is the time for which a drain keeps a connection open on which
 	// no request has begun to arrive.
 	drainLinger = 500 * time.Millisecond
@@ -40,7 +38,9 @@
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
 	// RequestID returns the ID in a request's header, or an empty string.
 	RequestID func(header http.Header) string
-	Log       *eventlog.Logger
+	// Limits returns the limits in force. Its zero fields stand for defaults.
+	Limits func() fleet.ClientLimits
+	Log    *eventlog.Logger
 }
 
 // Server serves the callers' requests.
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -14,6 +14,7 @@
 	"github.com/baobabhub/baobabhub/pkg/callerserver"
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/relay"
 )
 
@@ -46,7 +47,7 @@
 // their targets.
 func (e *Entry) serve(stopCtx context.Context) error {
 	callers := callerserver.New(callerserver.Config{
-		Handler: e.relay, ConnContext: relay.ConnContext, Log: e.log,
+		Handler: e.relay, ConnContext: relay.ConnContext, Limits: e.callerLimits, Log: e.log,
 		RequestID: func(header http.Header) string { return e.platform.Codec.DecodeRequest(header).ID },
 	})
 	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout}
@@ -83,6 +84,15 @@
 	return e.drain(callers, ready, metrics)
 }
 
+// callerLimits returns the limits of callers that the configuration in force sets.
+func (e *Entry) callerLimits() fleet.ClientLimits {
+	config := e.config.Load()
+	if config == nil {
+		return fleet.ClientLimits{}
+	}
+	return config.Limits
+}
+
 // acceptor is a server that serves the connections of a listener.
 type acceptor interface {
 	Serve(listener net.Listener) error
