Refuse a request whose body doesn't arrive

What callers saw: a request of which a part of the body was missing got no answer, neither at its deadline nor at the end of a planned stop, where its connection was closed. A request that was refused before its body was read (404, 401, 413, 503) didn't get the refusal while a part of its body was missing.

Cause: the body was read without a deadline; the request's timeout and the end of a drain cancel a context that the read doesn't observe. Before it writes a header, net/http reads up to 256 KiB of a body that the handler has left unread, also without a deadline.

Evidence on the code before (platform): TestStalledBody: Expected: nil, Actual: 'read tcp ...: i/o timeout' (15 s; the route's timeout is 1.5 s) TestPlannedStopWithStalledBody: Expected: nil, Actual: 'unexpected EOF' TestRefusalWithStalledBody (404): Expected: nil, Actual: '... i/o timeout'

Ruled out: a caller that closes in the middle of its body; net/http detects it, and the request ends.

A drain moves that deadline to the time from which incomplete requests are refused.

--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -52,7 +52,9 @@
 	requestID string
 	// headerBytes is the number of bytes read since the phase waiting ended.
 	headerBytes int
-	// handlerDeadline is the read deadline while a handler runs.
+	// handlerDeadline is the read deadline while a handler runs; zero if there is
+	// none. During a drain it is not later than the time from which incomplete
+	// requests are refused.
 	handlerDeadline time.Time
 	closed          bool
 }
@@ -134,7 +136,10 @@
 		}
 		return earlier(deadline, drain.refuseAt)
 	default:
-		return c.handlerDeadline
+		if c.handlerDeadline.IsZero() || drain.refuseAt.IsZero() {
+			return c.handlerDeadline
+		}
+		return earlier(c.handlerDeadline, drain.refuseAt)
 	}
 }
 
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -61,8 +61,8 @@
 // drain holds the times of a drain. They are zero before it.
 type drain struct {
 	startedAt time.Time
-	// refuseAt is the time from which a request whose header is incomplete is
-	// refused.
+	// refuseAt is the time from which an incomplete request is refused: here if its
+	// header is incomplete, and by the handler if its body is.
 	refuseAt time.Time
 }
 
@@ -96,7 +96,8 @@
 // Drain accepts the connections that wait in the listener's queue, closes the
 // listener and waits until all requests are answered and all connections closed. A
 // connection is closed after its response, or once nothing has arrived on it for
-// drainLinger. From refuseAt on, a request whose header is incomplete is refused.
+// drainLinger. From refuseAt on, incomplete requests are refused; a handler that
+// reads a body with a deadline finds that it has passed.
 //
 // When ctx is done, Drain closes the remaining connections. It returns the number of
 // connections that were closed on an unanswered request since the drain began.
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -6,13 +6,11 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhub/baobabhub/pkg/balance"
@@ -30,9 +28,6 @@
 	// deadlineGrace extends the wait for a response past the request's deadline,
 	// so that the target's own deadline response can arrive.
 	deadlineGrace = 60 * time.Millisecond
-	// defaultMaxBodyBytes bounds a request's body if the configuration sets no
-	// limit.
-	defaultMaxBodyBytes = 4 << 20
 	// notReadyRetryAfter is the Retry-After value while a newly started process
 	// has no configuration.
 	notReadyRetryAfter = 500 * time.Millisecond
@@ -126,6 +121,7 @@
 	if l.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
+	q.limitBodyTime(refusedBodyTimeout)
 	if refusal := q.prepare(); refusal != nil {
 		q.refuse(*refusal)
 		return
@@ -193,29 +189,6 @@
 	return &refusal{status: http.StatusUnauthorized, reason: "unknown_key"}
 }
 
-func (q *request) readBody() *refusal {
-	limit := q.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if q.r.ContentLength > limit {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	}
-	if q.r.ContentLength == 0 {
-		return nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
-	if err == nil {
-		q.body = body
-		return nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
-	}
-	return &refusal{status: http.StatusBadRequest, reason: "body_unreadable"}
-}
-
 // chooseService selects one of the route's services at random, by weight.
 func (q *request) chooseService() string {
 	total := 0.0
