Log: a line after the log's end is dropped, and doesn't panic

What callers saw: nothing in a process that exits. Where the process goes on (tests, one program with several processes), a handler that outlived the stop panicked in the middle of its answer: http: panic serving 127.0.0.1:57056: send on closed channel eventlog.(*AsyncWriter).Write ... relay.(*request).refuse (from the runs of TestPlannedStopWithStalledBody before its fault was mended).

Cause: Close closes the queue's channel, and a later Write sends on it.

Now the line is dropped and counted.

--- a/pkg/eventlog/ring.go
+++ b/pkg/eventlog/ring.go
@@ -22,6 +22,10 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	done    sync.WaitGroup
+
+	mu sync.RWMutex
+	// closed is set when the queue is closed. It must not change during a Write.
+	closed bool
 }
 
 // NewAsyncWriter returns a new AsyncWriter and starts its goroutine, which runs until
@@ -32,8 +36,14 @@
 	return w
 }
 
-// Write queues one line. It always succeeds.
+// Write queues one line. It always succeeds. After Close the line is dropped.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -47,10 +57,12 @@
 	return w.dropped.Swap(0)
 }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the goroutine. It must be called once.
 func (w *AsyncWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
 	close(w.lines)
+	w.mu.Unlock()
 	w.done.Wait()
 }
 
