Answer and log a request whose handler panics

What callers saw: a closed connection without an answer; in the log, nothing.

Cause: a panic in a handler reaches net/http, which closes the connection and prints to standard error, not to the event log.

Fix: the callers' server recovers the panic, logs handler_panicked (908) with the request's ID and the stack, and responds with 502, which promises nothing, without the header fields that were set for another response. A response that has begun is aborted as before. http.Server.ErrorLog of all three servers goes into the event log (909).

--- a/pkg/callerserver/drain_test.go
+++ b/pkg/callerserver/drain_test.go
@@ -29,8 +29,9 @@
 func newLimitedServer(handler http.HandlerFunc, log *eventlog.Logger, limits fleet.ClientLimits) *callerserver.Server {
 	return callerserver.New(callerserver.Config{
 		Handler: handler, Log: log,
-		RequestID: func(header http.Header) string { return header.Get("Id") },
-		Limits:    func() fleet.ClientLimits { return limits },
+		RequestID:    func(header http.Header) string { return header.Get("Id") },
+		SetRequestID: func(header http.Header, id string) { header.Set("Id", id) },
+		Limits:       func() fleet.ClientLimits { return limits },
 	})
 }
 
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -38,6 +38,8 @@
 	ConnContext func(ctx context.Context, conn net.Conn) context.Context
 	// RequestID returns the ID in a request's header, or an empty string.
 	RequestID func(header http.Header) string
+	// SetRequestID sets the ID in a response's header.
+	SetRequestID func(header http.Header, id string)
 	// Limits returns the limits in force. Its zero fields stand for defaults.
 	Limits func() fleet.ClientLimits
 	Log    *eventlog.Logger
@@ -74,6 +76,7 @@
 		MaxHeaderBytes: maxHeaderBytes,
 		ConnContext:    s.connContext,
 		ConnState:      observeState,
+		ErrorLog:       config.Log.ErrorLog("callers"),
 	}
 	return s
 }
@@ -167,7 +170,7 @@
 }
 
 // handler returns the configured handler, which additionally records the request
-// in progress in the state of its connection.
+// in progress in the state of its connection, and responds if it panics.
 func (s *Server) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*conn)
@@ -175,9 +178,12 @@
 			s.config.Handler.ServeHTTP(w, r)
 			return
 		}
-		c.beginRequest(s.config.RequestID(r.Header))
+		id := s.config.RequestID(r.Header)
+		c.beginRequest(id)
 		defer c.setPhase(answered)
-		s.config.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, server: s}, r)
+		tracked := &responseWriter{ResponseWriter: w, server: s}
+		defer s.recoverPanic(tracked, id)
+		s.config.Handler.ServeHTTP(tracked, r)
 	})
 }
 
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -48,10 +48,11 @@
 func (e *Entry) serve(stopCtx context.Context) error {
 	callers := callerserver.New(callerserver.Config{
 		Handler: e.relay, ConnContext: relay.ConnContext, Limits: e.callerLimits, Log: e.log,
-		RequestID: func(header http.Header) string { return e.platform.Codec.DecodeRequest(header).ID },
+		RequestID:    func(header http.Header) string { return e.platform.Codec.DecodeRequest(header).ID },
+		SetRequestID: func(header http.Header, id string) { e.platform.Codec.SetRequestID(header, id) },
 	})
-	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	metrics := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: e.log.ErrorLog("ready")}
+	metrics := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: e.log.ErrorLog("metrics")}
 	serveErrors := make(chan error, 3)
 	start := func(server acceptor, address string) error {
 		listener, err := net.Listen("tcp4", address)
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -20,7 +20,10 @@
 		[]string{"remote", "request_id", "phase", "unread", "phase_ms"}}
 	CallerHeaderRefused = Event{907, "caller_header_refused", "A caller's request was refused because its header did not arrive completely in time, or was too large; the request has not run and never will.",
 		[]string{"remote", "status", "header_ms"}}
-	ConfigInForce = Event{910, "config_in_force", "A newer configuration is now in force.",
+	HandlerPanicked = Event{908, "handler_panicked", "A program fault ended the handling of a caller's request. It was answered with 502 if answered is true; otherwise its answer had begun, and the connection was closed.",
+		[]string{"request_id", "answered", "err", "stack"}}
+	HTTPServerError = Event{909, "http_server_error", "An HTTP server of the process reported an error.", []string{"server", "err"}}
+	ConfigInForce   = Event{910, "config_in_force", "A newer configuration is now in force.",
 		[]string{"version", "was"}}
 	ConfigRejected = Event{911, "config_rejected", "A configuration or a weights version could not be decoded.",
 		[]string{"err", "in_force"}}
@@ -57,7 +60,7 @@
 )
 
 var entryEvents = []Event{
-	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft, CallerCut, CallerHeaderRefused,
+	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft, CallerCut, CallerHeaderRefused, HandlerPanicked, HTTPServerError,
 	ConfigInForce, ConfigRejected, TargetListed, TargetRemoved, TargetUnreadable, StoreLost, StoreRegained,
 	PeerHeard, PeerSilent, MembersChanged, LeaseLost, LeaderGained, LeaderLost, WeightsNamed, OrderSent,
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
