--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -14,7 +14,16 @@
 		[]string{"request_id", "route", "target", "events", "total_ms", "err"}}
 	CallerLeft = Event{905, "caller_left", "A caller closed its connection before the answer was complete; the request was cancelled at the target.",
 		[]string{"request_id", "route", "target", "total_ms"}}
-	ConfigInForce = Event{910, "config_in_force", "A newer configuration is now in force.",
+	// CallerCut covers a request that the process has not read completely. The
+	// request ID is empty unless the handler had begun.
+	CallerCut = Event{906, "caller_cut", "The process closed a caller's connection on an unanswered request: one that it had not read, had read in part, or was handling.",
+		[]string{"remote", "request_id", "phase", "unread", "phase_ms"}}
+	CallerHeaderRefused = Event{907, "caller_header_refused", "A caller's request was refused because its header did not arrive completely in time, or was too large; the request has not run and never will.",
+		[]string{"remote", "status", "header_ms"}}
+	HandlerPanicked = Event{908, "handler_panicked", "A program fault ended the handling of a caller's request. It was answered with 502 if answered is true; otherwise its answer had begun, and the connection was closed.",
+		[]string{"request_id", "answered", "err", "stack"}}
+	HTTPServerError = Event{909, "http_server_error", "An HTTP server of the process reported an error.", []string{"server", "err"}}
+	ConfigInForce   = Event{910, "config_in_force", "A newer configuration is now in force.",
 		[]string{"version", "was"}}
 	ConfigRejected = Event{911, "config_rejected", "A configuration or a weights version could not be decoded.",
 		[]string{"err", "in_force"}}
@@ -53,7 +62,7 @@
 )
 
 var entryEvents = []Event{
-	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft,
+	AttemptBegun, AttemptFailed, AnswerDelivered, CallerRefused, CallerBroken, CallerLeft, CallerCut, CallerHeaderRefused, HandlerPanicked, HTTPServerError,
 	ConfigInForce, ConfigRejected, TargetListed, TargetRemoved, TargetUnreadable, StoreLost, StoreRegained,
 	PeerHeard, PeerSilent, MembersChanged, LeaseLost, LeaderGained, LeaderLost, WeightsNamed, OrderSent,
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
--- a/test/soak/explanations_test.go
+++ b/test/soak/explanations_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -101,7 +102,8 @@
 // recordConfiguration records the timeouts of a published configuration. The caller
 // must hold rec.mu while faults are injected.
 func (rec *recorder) recordConfiguration(c platformfake.Configuration) {
-	reply, stream := timeouts(c)
+	reply := cmp.Or(c.ReplyTimeout, platformfake.DefaultReplyTimeout)
+	stream := cmp.Or(c.StreamTimeout, platformfake.DefaultStreamTimeout)
 	for route, timeout := range map[string]time.Duration{"once": reply, "safe": reply, "stream": stream, "resume": stream} {
 		if shortest, ok := rec.shortestTimeouts[route]; !ok || timeout < shortest {
 			rec.shortestTimeouts[route] = timeout
--- a/test/soak/silence_test.go
+++ b/test/soak/silence_test.go
@@ -120,30 +120,18 @@
 // changeRoutes changes timeouts or attempts of the routes, or nothing. The timeouts
 // never exceed the defaults, on which the check of response times relies.
 func changeRoutes(c platformfake.Configuration, variant int) platformfake.Configuration {
-	const replyStepMS, streamStepMS, steps = 100, 300, 3
+	const replyStep, streamStep, steps = 100 * time.Millisecond, 300 * time.Millisecond, 3
 	choice := variant / 3 % steps
 	switch variant % 3 {
 	case 0:
-		c.ReplyTimeoutMS = platformfake.DefaultReplyTimeoutMS - replyStepMS*choice
-		c.StreamTimeoutMS = platformfake.DefaultStreamTimeoutMS - streamStepMS*choice
+		c.ReplyTimeout = platformfake.DefaultReplyTimeout - replyStep*time.Duration(choice)
+		c.StreamTimeout = platformfake.DefaultStreamTimeout - streamStep*time.Duration(choice)
 	case 1:
 		c.Attempts = 1 + choice%platformfake.DefaultAttempts
 	}
 	return c
 }
 
-// timeouts returns the timeouts of the routes without and with streams.
-func timeouts(c platformfake.Configuration) (reply, stream time.Duration) {
-	replyMS, streamMS := c.ReplyTimeoutMS, c.StreamTimeoutMS
-	if replyMS == 0 {
-		replyMS = platformfake.DefaultReplyTimeoutMS
-	}
-	if streamMS == 0 {
-		streamMS = platformfake.DefaultStreamTimeoutMS
-	}
-	return time.Duration(replyMS) * time.Millisecond, time.Duration(streamMS) * time.Millisecond
-}
-
 // plannedWorkInjectors silence sound targets beside planned work only.
 var plannedWorkInjectors = []faultInjector{
 	silenceTargets, silenceTargets, silenceTargets, silenceTargets,
