Fault soak: the route's attempts count targets, and the retry budget holds

Two checks more, in all soak tests, from the users' rules: no request runs on more targets than its route has attempts, and in no window of 10 s the targets receive more repeated arrivals than 0.2 for each request of a caller plus 50, over all processes. Both are needed since a silent target's request may run beside a second attempt.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -89,6 +89,7 @@
 		req.Header.Set(platformfake.HeaderPromptPrefix, "a:200,"+id+":100")
 	}
 	startedAt := time.Now()
+	c.deployment.recorder.recordSent(startedAt)
 	c.checkResponse(p, id, route, body, startedAt, c.roundTrip(req))
 }
 
@@ -195,6 +196,8 @@
 			rec.failures = append(rec.failures, fmt.Sprintf("request %s reached targets %d times and ran %d times", id, n, rec.runs[id]))
 		}
 	}
+	rec.checkTargetsPerRequest()
+	rec.checkRetryBudget()
 	for salt, accounts := range rec.accountsBySalt {
 		if len(accounts) > 1 && accounts["t2"] {
 			rec.failures = append(rec.failures, fmt.Sprintf("cache salt %q of an isolated account is shared with another account", salt))
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -76,6 +76,9 @@
 	silenceCounts map[string]int
 	// attempts holds the attempts that reached a target, by request ID.
 	attempts map[string][]*targetAttempt
+	// sentRequests holds the times at which callers sent requests, and repeatedArrivals
+	// those of all arrivals at targets except the first one of each request.
+	sentRequests, repeatedArrivals []time.Time
 	// shortestTimeouts holds the shortest timeout that each route has had.
 	shortestTimeouts map[string]time.Duration
 }
@@ -121,6 +124,7 @@
 	defer rec.mu.Unlock()
 	id := h.Get(platformfake.HeaderRequestID)
 	rec.received[id]++
+	rec.recordArrival(h)
 	for _, name := range []string{platformfake.HeaderAPIKey, platformfake.HeaderHold, platformfake.HeaderKVFrom} {
 		if h.Get(name) != "" {
 			rec.failures = append(rec.failures, fmt.Sprintf("request %s reached a target with header %s", id, name))
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -235,8 +235,8 @@
 		"node": p.vm, "ip": ip, "zone": fmt.Sprint("zone-", index%2),
 		"listen": map[string]any{"front": p.address, "ready": p.readyAddress}, "port_range": []int{7400, 7401}, "first_start": true,
 		"limits": map[string]any{"memory_mb": 200, "max_fds": 1000},
-		"bounds": map[string]any{"lease_ms": leaseTTL.Milliseconds(), "grace_s": stopGrace.Seconds(), "retry_budget": 0.2,
-			"budget_window_s": 10, "budget_slack": 50, "version_ms": 6000},
+		"bounds": map[string]any{"lease_ms": leaseTTL.Milliseconds(), "grace_s": stopGrace.Seconds(), "retry_budget": retryBudget,
+			"budget_window_s": retryBudgetWindow.Seconds(), "budget_slack": retryBudgetSlack, "version_ms": 6000},
 		"platform": map[string]any{"addr": link.Addr()},
 	}
 	directory := d.t.TempDir()
