Ask a target again only after a longer silence of the one in its place

A spare target is now asked only after two such silences in a row; one that fails is still replaced by it at once. TestSilentTargetInVirtualTime has the case.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -33,6 +33,9 @@
 	events chan []byte
 	// hasEvents is set by the handler once it has received events.
 	hasEvents bool
+	// silences counts the times without events since the latest one that were long
+	// enough for a second attempt.
+	silences int
 
 	exchange     *targetconn.Exchange
 	responseMeta call.ResponseMetadata
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -19,6 +19,9 @@
 	// streamSilence is the time without an event of a resumable stream after which a
 	// second attempt begins.
 	streamSilence = 1500 * time.Millisecond
+	// silencesBeforeSpare is the number of such times without an event after which the
+	// spare target is asked, which has been silent itself or was slower before.
+	silencesBeforeSpare = 2
 	// finalResponseLead is the time by which the final response to a request without a
 	// usable one precedes the end of its caller's wait, so that it still arrives.
 	finalResponseLead = 50 * time.Millisecond
@@ -182,14 +185,16 @@
 // active attempt goes on.
 func (d *dispatcher) beginStandby() {
 	q := d.q
-	only := ""
-	if d.countedAttempts+1 >= q.route.MaxAttempts {
-		only = d.spareTarget
-	}
-	if q.remaining() <= 0 || (only == "" && d.countedAttempts+1 >= q.route.MaxAttempts) {
+	d.active.silences++
+	only, allowed := d.standbyLimit()
+	if !allowed {
 		d.logSilence("", "no_attempts_left")
 		return
 	}
+	if only != "" && d.active.silences < silencesBeforeSpare {
+		d.watchSilence()
+		return
+	}
 	d.excluded[d.active.choice.Target.ID] = true
 	choice, refusal := q.chooseTarget(d.excluded, only)
 	switch {
@@ -206,6 +211,19 @@
 	}
 }
 
+// standbyLimit reports whether a standby is allowed. Once the route's attempts are
+// used, only may be the spare target.
+func (d *dispatcher) standbyLimit() (only string, allowed bool) {
+	switch {
+	case d.q.remaining() <= 0:
+		return "", false
+	case d.countedAttempts+1 < d.q.route.MaxAttempts:
+		return "", true
+	default:
+		return d.spareTarget, d.spareTarget != ""
+	}
+}
+
 // logSilence logs that the active attempt's target is silent, and the target of the
 // second attempt or the reason why there is none.
 func (d *dispatcher) logSilence(standbyTarget, reason string) {
@@ -221,6 +239,7 @@
 	d.dropStandby()
 	a := d.active
 	a.hasEvents = true
+	a.silences = 0
 	if !d.q.writeEvents(a, d.controller, events) {
 		d.disconnect(a)
 	}
--- a/pkg/relay/dispatch_test.go
+++ b/pkg/relay/dispatch_test.go
@@ -65,6 +65,11 @@
 		So(result.body, ShouldEqual, completeTestStream(3))
 		So(world.received[2], ShouldEqual, world.received[1])
 	})
+	Convey("A stream whose targets all are silent after their first event is completed by the second one", t, func() {
+		_, result := inVirtualTime(t, resumableRoute(2), 4, 2, 4*time.Second, stream(0, silence, 0, 0))
+		So(result.body, ShouldEqual, completeTestStream(4))
+		So(result.endedAt, ShouldEqual, streamSilence+silence)
+	})
 	Convey("A request that may not be repeated waits for its target", t, func() {
 		route := resumableRoute(2)
 		route.Resumable = false
