Target connections: bound the head of a response

What callers saw: a target that never ends the head of its response, or sends bytes that are no HTTP, held each request until the request's time was over, and the process buffered all of it. A process that exceeds its memory limit is killed, and takes every accepted request with it: no answer and no refusal.

Cause: http.ReadResponse bounds neither a line nor the number of header fields, and the loop that skips informational responses had no end.

Evidence, before the change: - go test ./pkg/targetconn -run TestHeadWithoutEnd: 7 of 8 cases red. One request: 4,374,837,728 (status line), 5,042,763,320 (header line), 621,409,016 (header fields), 15,476,872 and 21,481,728 (informational responses), 4,374,848,064 and 6,616,054,816 bytes of heap (no HTTP), "to be less than 4194304"; each ended only with its deadline of 4 s. An entry VM has 112 to 536 MB. - go test ./platform -run TestTargetSendsWithoutEnd (whole entry process): 7 of 8 cases red. 30 requests at once: 158,944,072 to 689,537,016 bytes of heap for five of them, "to be less than"; requests that may be repeated took 910 to 964 ms, until the timeout for a silent target; those that may not got 504 at their deadline in place of 502.

After: both green, three times and with the race detector.

Ruled out: chunk-size lines, chunk extensions and trailers (net/http bounds them at 4 KiB; TestBodyWithoutEnd shows it), and a body (ReadAll bounds it), for a single response. Many bodies at once are another fault. The write deadline that a stream sets on its caller's connection doesn't outlive the request: net/http clears it.

Why it works: the limit counts the bytes that leave the socket from the request to the end of the final head, over all informational responses, so that no form of head escapes it. The attempt fails at once; the request is sent again or gets a truthful 502, and the balancer counts the failure. TestLargestHead holds valid heads up to the limit, also on a reused connection.

--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -41,7 +41,9 @@
 type Conn struct {
 	pool   *pool
 	socket net.Conn
+	// reader buffers head, which bounds the heads that are read from socket.
 	reader *bufio.Reader
+	head   *headLimiter
 	// idleTimeout is the time after which the target closes the idle connection.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -113,8 +115,10 @@
 }
 
 // readHeader reads the header of the final response and skips informational
-// responses.
+// responses. It fails once the target has sent more than maxHeadBytes.
 func (c *Conn) readHeader(req *Request) (*http.Response, error) {
+	c.head.beginHead()
+	defer c.head.endHead()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -191,7 +191,12 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Conn{pool: p, socket: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return newConn(p, conn), nil
+}
+
+func newConn(p *pool, socket net.Conn) *Conn {
+	head := &headLimiter{socket: socket}
+	return &Conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}
 }
 
 // setTCPUserTimeout sets TCP_USER_TIMEOUT, which bounds the time for which sent
