Relay: one memory budget for all buffered responses

What callers saw: responses of which each kept to its limit of 8 MiB, many at once, took the process over its memory limit. It is then killed, with every accepted request.

Cause: the limit held for each response alone, and its buffer grew by copies.

Ruled out: a share of the free memory for each buffer. TestSmallBufferBesideLargeOnes failed with it: a few stalled responses halve what is free until nothing is left.

Why it works: pkg/membudget counts the memory of all buffers of the process, a quarter of its limit. Buffers above 64 KiB together leave half of it free, so that small responses are still served beside any number of large ones. A response over the budget or its own limit fails its attempt at once, also by its stated length alone; the request is sent again or gets a truthful 502. An attempt without a body to forward releases its buffer when it ends, the others when their request ends, also by a panic.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
 	"github.com/baobabhub/baobabhub/pkg/kv"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/metrics"
 	"github.com/baobabhub/baobabhub/pkg/relay"
 	"github.com/baobabhub/baobabhub/pkg/rollout"
@@ -90,6 +91,10 @@
 	// memoryLimitFraction is the fraction of the process's memory limit that is
 	// set as the Go runtime's soft limit.
 	memoryLimitFraction = 0.8
+	// bufferMemoryFraction is the fraction of the process's memory limit that
+	// buffered responses may use. defaultBufferBytes applies without a limit.
+	bufferMemoryFraction = 0.25
+	defaultBufferBytes   = 64 << 20
 	// pruneInterval is the interval of the cleanup of connections, targets and
 	// peers.
 	pruneInterval = time.Second
@@ -175,7 +180,7 @@
 		e.rollouts.requestPlan()
 	})
 	e.relay = relay.New(relay.Config{
-		Codec: platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools,
+		Codec: platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools, Buffers: membudget.New(bufferBytes(settings)),
 		Log: e.log, Metrics: e.metrics.Scope, Now: e.uptime,
 		CurrentConfig: e.config.Load,
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
@@ -188,6 +193,14 @@
 	return e, nil
 }
 
+// bufferBytes returns the memory that buffered responses may use.
+func bufferBytes(settings Settings) int64 {
+	if settings.MemoryBytes <= 0 {
+		return defaultBufferBytes
+	}
+	return int64(bufferMemoryFraction * float64(settings.MemoryBytes))
+}
+
 // newBootID returns an identifier for this run of the process.
 func newBootID() string {
 	return fmt.Sprintf("%d-%x", os.Getpid(), rand.Uint64())
--- /dev/null
+++ b/pkg/membudget/membudget.go
@@ -0,0 +1,143 @@
+// Package membudget bounds the memory of the data that a process buffers for all
+// its requests together.
+//
+// Large buffers together may use only a part of the budget, so that data without end
+// leaves room for the small buffers of other requests.
+package membudget
+
+import (
+	"io"
+	"sync"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// minBufferBytes is the initial size of a buffer.
+	minBufferBytes = 4 << 10
+	// smallBufferBytes is the size up to which a buffer may use the whole budget. A
+	// larger one leaves smallBufferFraction of the budget free.
+	smallBufferBytes    = 64 << 10
+	smallBufferFraction = 0.5
+)
+
+// Errors of Buffer.ReadAll. Compare with errors.Is.
+const (
+	// ErrTooLarge means that the data exceeds the limit of a single buffer.
+	ErrTooLarge = errors.ConstError("data exceeds the size limit")
+	// ErrBudgetExceeded means that the buffers of all requests together leave no
+	// room for the data.
+	ErrBudgetExceeded = errors.ConstError("memory budget for buffered data exceeded")
+)
+
+// Budget is the memory of all buffers together. It is safe for concurrent use. A nil
+// Budget is unlimited.
+type Budget struct {
+	limit int64
+
+	mu   sync.Mutex
+	used int64
+}
+
+// New returns a Budget of limit bytes.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit}
+}
+
+// Used returns the number of bytes that all buffers occupy.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// NewBuffer returns an empty buffer. The caller must release it.
+func (b *Budget) NewBuffer() *Buffer {
+	return &Buffer{budget: b}
+}
+
+// reserve adds the size bytes to which a buffer grows, and reports whether the budget
+// allows it.
+func (b *Budget) reserve(size int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := b.limit
+	if size > smallBufferBytes {
+		limit -= int64(smallBufferFraction * float64(b.limit))
+	}
+	if b.used+size > limit {
+		return false
+	}
+	b.used += size
+	return true
+}
+
+func (b *Budget) release(size int64) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= size
+}
+
+// Buffer holds data that counts against a Budget. It is not safe for concurrent use.
+type Buffer struct {
+	budget *Budget
+	data   []byte
+}
+
+// ReadAll reads r to its end and appends the data to the buffer. It returns
+// ErrTooLarge if the buffer would hold more than limit bytes, and ErrBudgetExceeded
+// if the budget leaves no room. The buffer then holds a part of the data.
+func (b *Buffer) ReadAll(r io.Reader, limit int64) error {
+	for {
+		if len(b.data) == cap(b.data) && !b.grow(limit) {
+			return ErrBudgetExceeded
+		}
+		n, err := r.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if int64(len(b.data)) > limit {
+			return ErrTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+// grow doubles the capacity, up to one byte more than limit, and reports whether the
+// budget allows it. While the data is copied, both the old and the new memory count.
+func (b *Buffer) grow(limit int64) bool {
+	oldBytes := int64(cap(b.data))
+	newBytes := max(minBufferBytes, 2*oldBytes)
+	if newBytes >= limit {
+		newBytes = max(limit, oldBytes) + 1
+	}
+	if !b.budget.reserve(newBytes) {
+		return false
+	}
+	data := make([]byte, len(b.data), newBytes)
+	copy(data, b.data)
+	b.data = data
+	b.budget.release(oldBytes)
+	return true
+}
+
+// Bytes returns the data. It is valid until Release.
+func (b *Buffer) Bytes() []byte {
+	return b.data
+}
+
+// Release discards the data and returns its memory to the budget. Further calls have
+// no effect.
+func (b *Buffer) Release() {
+	b.budget.release(int64(cap(b.data)))
+	b.data = nil
+}
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -33,7 +33,7 @@
 }
 
 func (q *request) handleNotRun(a *attempt) outcome {
-	_, err := a.exchange.ReadAll(maxResponseBytes)
+	_, err := a.exchange.ReadAll(a.buffer, maxResponseBytes)
 	a.exchange.Finish(err == nil)
 	misdirected := a.exchange.Response.StatusCode == http.StatusMisdirectedRequest
 	if misdirected && !a.responseMeta.InstanceMismatch && a.choice.Version > 0 {
@@ -63,7 +63,7 @@
 // readBuffered reads the complete response before any of it is forwarded, so that a
 // truncated one is never sent to the caller.
 func (q *request) readBuffered(a *attempt) outcome {
-	body, err := a.exchange.ReadAll(maxResponseBytes)
+	body, err := a.exchange.ReadAll(a.buffer, maxResponseBytes)
 	if err != nil {
 		a.exchange.Finish(false)
 		a.err = err
@@ -78,7 +78,7 @@
 // handleErrorResponse buffers the target's error response, which is forwarded
 // unchanged if the request isn't retried.
 func (q *request) handleErrorResponse(a *attempt) outcome {
-	body, err := a.exchange.ReadAll(maxResponseBytes)
+	body, err := a.exchange.ReadAll(a.buffer, maxResponseBytes)
 	if err != nil {
 		a.exchange.Finish(false)
 		a.err = err
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -36,7 +37,9 @@
 
 	exchange     *targetconn.Exchange
 	responseMeta call.ResponseMetadata
-	// body is the complete body of a response that is not a stream.
+	// buffer holds a response that is forwarded only once it is complete, and body
+	// the complete body of a response that is not a stream.
+	buffer *membudget.Buffer
 	body   []byte
 	sent   bool
 	err    error
@@ -55,6 +58,8 @@
 	if a.resumeFrom == "" {
 		a.resumeFrom = q.meta.LastEventID
 	}
+	a.buffer = relay.Buffers.NewBuffer()
+	q.buffers = append(q.buffers, a.buffer)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	relay.instruments.attempts.Inc(1)
 	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(nil), &a.choice)
@@ -82,6 +87,9 @@
 		}
 	}()
 	a.result = q.roundTrip(a)
+	if a.body == nil {
+		a.buffer.Release()
+	}
 }
 
 // deliverEvents hands complete events to the handler. It reports false if the
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -53,8 +53,9 @@
 		q: q, ctx: ctx, excluded: map[string]bool{},
 		silence: time.NewTimer(time.Hour), controller: http.NewResponseController(q.w),
 	}
-	// A handler that can't complete a response panics, so a deferred call ends the
-	// attempts.
+	// A handler that can't complete a response panics, so deferred calls end the
+	// attempts and release their buffers.
+	defer q.releaseBuffers()
 	defer d.close()
 	d.silence.Stop()
 	d.begin()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
@@ -45,8 +46,11 @@
 	Balancer *balance.Balancer
 	Limiter  *tokenrate.Limiter
 	Pools    *targetconn.Pools
-	Log      *eventlog.Logger
-	Metrics  tally.Scope
+	// Buffers bounds the memory of the responses that are buffered at the same
+	// time.
+	Buffers *membudget.Budget
+	Log     *eventlog.Logger
+	Metrics tally.Scope
 	// Now returns the time of the process's monotonic clock.
 	Now func() time.Duration
 	// CurrentConfig returns the current configuration, or nil before the first
@@ -108,6 +112,8 @@
 	account *fleet.Account
 	service string
 	body    []byte
+	// buffers holds the buffers of all attempts.
+	buffers []*membudget.Buffer
 	// cost is the number of tokens charged to the account's rate limit.
 	cost      float64
 	startedAt time.Duration
@@ -274,6 +280,14 @@
 	q.cost = 0
 }
 
+// releaseBuffers releases the buffers of all attempts. It must be called after the
+// attempts have ended and the response has been written.
+func (q *request) releaseBuffers() {
+	for _, buffer := range q.buffers {
+		buffer.Release()
+	}
+}
+
 func (q *request) accountName() string {
 	if q.account == nil {
 		return ""
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +16,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
 )
 
@@ -182,15 +182,14 @@
 	return timeout / divisor
 }
 
-// ReadAll reads the rest of the response body. It fails if the rest is longer than
-// limit bytes.
-func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(e.Response.Body, limit+1))
-	if err != nil {
-		return nil, errors.Annotate(err, "reading a response body")
+// ReadAll reads the rest of the response body into buffer. It fails if the rest is
+// longer than limit bytes, or if the buffer's budget leaves no room for it.
+func (e *Exchange) ReadAll(buffer *membudget.Buffer, limit int64) ([]byte, error) {
+	if e.Response.Body != http.NoBody && e.Response.ContentLength > limit {
+		return nil, errors.Annotatef(membudget.ErrTooLarge, "reading a response body of %d bytes", e.Response.ContentLength)
 	}
-	if int64(len(body)) > limit {
-		return nil, errors.Errorf("response body exceeds %d bytes", limit)
+	if err := buffer.ReadAll(e.Response.Body, limit); err != nil {
+		return nil, errors.Annotate(err, "reading a response body")
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
