Streams: bytes that are no events end the attempt at an event's bound

What callers saw: a target that sent blank lines, or blocks that are no events, without end on a stream had them forwarded to the caller until the request's deadline; a resumable stream got these bytes in place of another target's events. Many streams with an unfinished event of nearly 1 MiB each exceeded the process's memory limit.

Cause: an empty line ended an event whatever stood before it, and the buffers of events had a bound each, but none together.

Ruled out: rejecting such a block at once. The protocol lets a target add lines of its own to an event, and a stream that is no event stream must still arrive unchanged.

Why it works: a block counts as an event only with a field of an event or a comment. Other bytes wait for the next event or the stream's end, unchanged (TestEventReaderPreservesBytes); without either they reach the bound of 1 MiB and the attempt fails. The buffer counts against the common budget, and is searched once instead of anew at each read.

--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -95,11 +95,7 @@
 // if the budget leaves no room. The buffer then holds a part of the data.
 func (b *Buffer) ReadAll(r io.Reader, limit int64) error {
 	for {
-		if len(b.data) == cap(b.data) && !b.grow(limit) {
-			return ErrBudgetExceeded
-		}
-		n, err := r.Read(b.data[len(b.data):cap(b.data)])
-		b.data = b.data[:len(b.data)+n]
+		err := b.ReadOnce(r, limit)
 		if int64(len(b.data)) > limit {
 			return ErrTooLarge
 		}
@@ -107,11 +103,31 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Trace(err)
+			return err
 		}
 	}
 }
 
+// ReadOnce reads once from r and appends the data to the buffer. It returns the error
+// of r, ErrTooLarge if the buffer holds more than limit bytes already, or
+// ErrBudgetExceeded if the budget leaves no room.
+func (b *Buffer) ReadOnce(r io.Reader, limit int64) error {
+	if int64(len(b.data)) > limit {
+		return ErrTooLarge
+	}
+	if len(b.data) == cap(b.data) && !b.grow(limit) {
+		return ErrBudgetExceeded
+	}
+	n, err := r.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.data[:len(b.data)+n]
+	return err
+}
+
+// Discard removes the first n bytes.
+func (b *Buffer) Discard(n int) {
+	b.data = b.data[:copy(b.data, b.data[n:])]
+}
+
 // grow doubles the capacity, up to one byte more than limit, and reports whether the
 // budget allows it. While the data is copied, both the old and the new memory count.
 func (b *Buffer) grow(limit int64) bool {
@@ -130,7 +146,7 @@
 	return true
 }
 
-// Bytes returns the data. It is valid until Release.
+// Bytes returns the data. It is valid until the next call of another method.
 func (b *Buffer) Bytes() []byte {
 	return b.data
 }
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -5,33 +5,36 @@
 	"io"
 
 	"github.com/juju/errors"
-)
 
-const (
-	// initialEventBufferBytes is the initial size of a stream's buffer.
-	initialEventBufferBytes = 4 << 10
-	// maxEventBytes bounds a single event of a stream.
-	maxEventBytes = 1 << 20
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 )
 
-// errEventTooLarge indicates an event longer than maxEventBytes.
-const errEventTooLarge = errors.ConstError("server-sent event exceeds the size limit")
+// maxEventBytes bounds a single event of a stream, and the bytes between two events
+// that are no events.
+const maxEventBytes = 1 << 20
 
-// eventSeparators are the byte sequences that end an event, in streams with LF
-// or CR LF line endings.
-var eventSeparators = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+// errEventTooLarge indicates an event longer than maxEventBytes, or as many bytes
+// without an event.
+const errEventTooLarge = errors.ConstError("server-sent event exceeds the size limit")
 
-// eventReader splits a stream of server-sent events into complete events.
+// eventReader splits a stream of server-sent events into complete events. An event
+// is a block of lines that ends with an empty line. A block without any field or
+// comment is no event; it is returned only together with a later event or at the end
+// of the stream.
 type eventReader struct {
 	body   io.Reader
-	buffer []byte
+	buffer *membudget.Buffer
 	// consumed is the length of the events returned by the previous call of
 	// next, at the start of the buffer.
 	consumed int
+	// blockStart is the offset of the last block, which is incomplete, and scanned the
+	// number of bytes that have been searched for its end.
+	blockStart int
+	scanned    int
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{body: body, buffer: make([]byte, 0, initialEventBufferBytes)}
+func newEventReader(body io.Reader, buffer *membudget.Buffer) *eventReader {
+	return &eventReader{body: body, buffer: buffer}
 }
 
 // next reads once from the body and returns the complete events received so far,
@@ -39,40 +42,78 @@
 // unmodified remainder of the stream. With any other error, a truncated event is
 // not returned.
 func (r *eventReader) next() ([]byte, error) {
-	r.buffer = r.buffer[:copy(r.buffer, r.buffer[r.consumed:])]
-	r.consumed = 0
-	if len(r.buffer) == cap(r.buffer) && !r.grow() {
+	r.discardConsumed()
+	err := r.buffer.ReadOnce(r.body, maxEventBytes)
+	if errors.Is(err, membudget.ErrTooLarge) {
 		return nil, errEventTooLarge
 	}
-	n, err := r.body.Read(r.buffer[len(r.buffer):cap(r.buffer)])
-	r.buffer = r.buffer[:len(r.buffer)+n]
-	r.consumed = completeEventsLen(r.buffer)
+	data := r.buffer.Bytes()
+	r.scan(data)
 	if errors.Is(err, io.EOF) {
-		r.consumed = len(r.buffer)
+		r.consumed = len(data)
 	}
-	return r.buffer[:r.consumed], err
+	return data[:r.consumed], err
 }
 
-// grow doubles the buffer and reports false if the buffer has reached
-// maxEventBytes.
-func (r *eventReader) grow() bool {
-	if cap(r.buffer) >= maxEventBytes {
-		return false
+func (r *eventReader) discardConsumed() {
+	r.buffer.Discard(r.consumed)
+	r.blockStart -= r.consumed
+	r.scanned -= r.consumed
+	r.consumed = 0
+}
+
+// scan searches the bytes that have not been searched yet for the ends of blocks, and
+// sets consumed to the end of the last event.
+func (r *eventReader) scan(data []byte) {
+	for {
+		from := max(r.blockStart, r.scanned-maxSeparatorBytes+1)
+		end := blockEnd(data, from)
+		if end < 0 {
+			r.scanned = len(data)
+			return
+		}
+		if isEvent(data[r.blockStart:end]) {
+			r.consumed = end
+		}
+		r.blockStart, r.scanned = end, end
+	}
+}
+
+// maxSeparatorBytes is the length of the longest separator of two blocks.
+const maxSeparatorBytes = 3
+
+// blockEnd returns the offset of the first byte after the first separator of two
+// blocks, in data with LF or CR LF line endings, or -1 if there is none from the
+// given offset on.
+func blockEnd(data []byte, from int) int {
+	for {
+		i := bytes.IndexByte(data[from:], '\n')
+		if i < 0 {
+			return -1
+		}
+		from += i + 1
+		rest := data[from:]
+		switch {
+		case bytes.HasPrefix(rest, []byte("\n")):
+			return from + 1
+		case bytes.HasPrefix(rest, []byte("\r\n")):
+			return from + 2
+		}
 	}
-	buffer := make([]byte, len(r.buffer), 2*cap(r.buffer))
-	copy(buffer, r.buffer)
-	r.buffer = buffer
-	return true
 }
 
-// completeEventsLen returns the length of the complete events at the start of a
-// buffer.
-func completeEventsLen(buffer []byte) int {
-	length := 0
-	for _, separator := range eventSeparators {
-		if i := bytes.LastIndex(buffer, separator); i >= 0 {
-			length = max(length, i+len(separator))
+// isEvent reports whether a block of lines has a field of an event or a comment.
+func isEvent(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		name, _, hasColon := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "data", "event", "id", "retry":
+			return true
+		case "":
+			if hasColon {
+				return true
+			}
 		}
 	}
-	return length
+	return false
 }
--- a/pkg/relay/events_test.go
+++ b/pkg/relay/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -9,14 +10,22 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 )
 
+// maxReads bounds the non-empty results that readEvents collects.
+const maxReads = 10_000
+
+var errBroken = errors.New("broken")
+
 // readEvents returns the non-empty results of next until the first error, and
 // that error.
 func readEvents(body io.Reader) ([]string, error) {
-	reader := newEventReader(body)
+	var unlimited *membudget.Budget
+	reader := newEventReader(body, unlimited.NewBuffer())
 	var got []string
-	for {
+	for len(got) < maxReads {
 		events, err := reader.next()
 		if len(events) > 0 {
 			got = append(got, string(events))
@@ -25,6 +34,7 @@
 			return got, err
 		}
 	}
+	return got, errors.New("the stream goes on")
 }
 
 func TestEventReader(t *testing.T) {
@@ -48,10 +58,9 @@
 		})
 	})
 	Convey("Given a stream that fails in the middle of an event", t, func() {
-		broken := errors.New("broken")
-		got, err := readEvents(io.MultiReader(strings.NewReader("data: a\n\ndata: b"), iotest.ErrReader(broken)))
+		got, err := readEvents(io.MultiReader(strings.NewReader("data: a\n\ndata: b"), iotest.ErrReader(errBroken)))
 		Convey("the truncated event is not returned", func() {
-			So(err, ShouldEqual, broken)
+			So(err, ShouldEqual, errBroken)
 			So(got, ShouldResemble, []string{"data: a\n\n"})
 		})
 	})
@@ -63,6 +72,39 @@
 	})
 }
 
+// repeat is a reader that repeats a text without end.
+type repeat struct {
+	text   string
+	offset int
+}
+
+func (r *repeat) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.text[r.offset]
+		r.offset = (r.offset + 1) % len(r.text)
+	}
+	return len(p), nil
+}
+
+// TestBytesThatAreNoEvents guards against a stream without end of bytes that are no
+// events, which was forwarded to the caller until the request's deadline.
+func TestBytesThatAreNoEvents(t *testing.T) {
+	for _, text := range []string{"x", "\n", "\r\n", "garbage\n\n", "garbage: x\n\n", "dataset: x\r\n\r\n", "data: x\n"} {
+		Convey(fmt.Sprintf("A stream that repeats %q without end fails at the size limit of an event, and nothing of it is returned", text), t, func() {
+			got, err := readEvents(&repeat{text: text})
+			So(err, ShouldEqual, errEventTooLarge)
+			So(got, ShouldBeEmpty)
+		})
+	}
+	for _, event := range []string{"data: a\n\n", "data\n\n", ": comment\n\n", "id: 1\n\n", "event: e\n\n", "retry: 1\n\n", "other: 1\ndata: a\r\n\r\n", "garbage\n\ndata: a\n\n"} {
+		Convey(fmt.Sprintf("%q is returned before the stream ends", event), t, func() {
+			got, err := readEvents(io.MultiReader(strings.NewReader(event), iotest.ErrReader(errBroken)))
+			So(err, ShouldEqual, errBroken)
+			So(strings.Join(got, ""), ShouldEqual, event)
+		})
+	}
+}
+
 // TestEventReaderPreservesBytes checks that any stream that ends with io.EOF is
 // returned byte for byte, however the reads split it.
 func TestEventReaderPreservesBytes(t *testing.T) {
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -19,7 +19,7 @@
 // readStream hands only complete events of a stream to the handler. A truncated
 // event is never forwarded, so that the stream can be resumed at another target.
 func (q *request) readStream(a *attempt) outcome {
-	reader := newEventReader(a.exchange.Response.Body)
+	reader := newEventReader(a.exchange.Response.Body, a.buffer)
 	for {
 		events, err := reader.next()
 		if len(events) > 0 && !a.deliverEvents(bytes.Clone(events)) {
