A refusal of a target no longer waits for the rest of its body

What callers saw: a target that guaranteed in the head of its response that the request did not run, and whose body then didn't arrive, kept the caller waiting until the deadline. The 503 with its Retry-After came when the caller's time was over, that is when a caller with the same deadline has left: it got neither an answer nor a refusal.

Cause: the body, which nobody needs, was read to its end (up to 8 MiB, in memory) only to keep the connection.

Why it works: the head decides. The rest is read for at most 50 ms and 16 KiB, without being kept; else the connection is closed. TestDiscard holds which connections are kept, and that the 50 ms don't outlive the response.

--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -33,8 +33,8 @@
 }
 
 func (q *request) handleNotRun(a *attempt) outcome {
-	_, err := a.exchange.ReadAll(a.buffer, maxResponseBytes)
-	a.exchange.Finish(err == nil)
+	// The head alone guarantees that the request did not run.
+	a.exchange.Discard()
 	misdirected := a.exchange.Response.StatusCode == http.StatusMisdirectedRequest
 	if misdirected && !a.responseMeta.InstanceMismatch && a.choice.Version > 0 {
 		q.relay.Balancer.RecordMismatch(q.relay.Now(), a.choice.Target.Boot(), q.meta.Model, a.choice.Version, a.responseMeta.WeightsVersion)
--- a/pkg/targetconn/bound_test.go
+++ b/pkg/targetconn/bound_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +137,51 @@
 		}
 	})
 }
+
+// TestDiscard guards against a discarded response whose connection carries the rest
+// of it into the next one, or that is closed although its response was short.
+func TestDiscard(t *testing.T) {
+	Convey("After a discarded response", t, func() {
+		for _, c := range []struct {
+			name      string
+			bodyBytes int
+			stall     bool
+			wantKept  bool
+		}{{"that is empty", 0, false, true}, {"that is short", 100, false, true}, {"that is long", 1 << 20, false, false}, {"that stops before its end", 100, true, false}} {
+			Convey(c.name+", the connection is kept only if the response has ended", func() {
+				var connections atomic.Int64
+				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Content-Length", strconv.Itoa(c.bodyBytes))
+					if c.stall {
+						w.Header().Set("Content-Length", strconv.Itoa(c.bodyBytes+1))
+					}
+					_, _ = w.Write(make([]byte, c.bodyBytes))
+					if c.stall {
+						_ = http.NewResponseController(w).Flush()
+						<-r.Context().Done()
+					}
+				}))
+				server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+					if state == http.StateNew {
+						connections.Add(1)
+					}
+				}
+				server.Start()
+				defer server.Close()
+				pools := targetconn.NewPools()
+				target := &fleet.Target{ID: "t", Address: server.Listener.Addr().String()}
+				const requests = 2
+				for range requests {
+					conn, err := pools.Get(t.Context(), target, 1)
+					So(err, ShouldBeNil)
+					exchange, _, err := conn.Send(t.Context(), &targetconn.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+					So(err, ShouldBeNil)
+					exchange.Discard()
+					// The timeout of the discarded response must not end the next one.
+					time.Sleep(maxEndDelay / 10)
+				}
+				So(connections.Load() == 1, ShouldEqual, c.wantKept)
+			})
+		}
+	})
+}
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +28,13 @@
 // response is read. Larger bodies are written while the response is read.
 const maxInlineBodyBytes = 8 << 10
 
+const (
+	// maxDrainBytes and drainTimeout bound the rest of a response that is read only
+	// to keep the connection.
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
+
 // Request is a request with its full body.
 type Request struct {
 	Method string
@@ -138,6 +146,24 @@
 	}
 }
 
+// Discard ends the exchange of a response whose body isn't needed. It keeps the
+// connection only if the rest of the body is short and arrives soon.
+func (e *Exchange) Discard() {
+	e.Finish(e.drain())
+}
+
+// drain reads the rest of the body and reports whether it has ended.
+func (e *Exchange) drain() bool {
+	if e.conn.socket.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxDrainBytes))
+	if err != nil || n == maxDrainBytes {
+		return false
+	}
+	return e.conn.socket.SetReadDeadline(time.Time{}) == nil
+}
+
 // Finish ends the exchange. The caller sets complete if it has read the response
 // to its end. The connection is returned to the pool if the response is complete
 // and no unread bytes are left; otherwise it is closed.
