--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -70,8 +70,9 @@
 		silence: time.NewTimer(time.Hour), callerLeaves: time.NewTimer(q.untilCallerLeaves()),
 		controller: http.NewResponseController(q.w),
 	}
-	// A handler that can't complete a response panics, so a deferred call ends the
-	// attempts.
+	// A handler that can't complete a response panics, so deferred calls end the
+	// attempts and release their buffers.
+	defer q.releaseBuffers()
 	defer d.close()
 	d.silence.Stop()
 	d.begin()
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -194,7 +194,12 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Conn{pool: p, socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return newConn(p, socket), nil
+}
+
+func newConn(p *pool, socket net.Conn) *Conn {
+	head := &headLimiter{socket: socket}
+	return &Conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
