--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -17,6 +17,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
 )
 
@@ -27,6 +28,13 @@
 // response is read. Larger bodies are written while the response is read.
 const maxInlineBodyBytes = 8 << 10
 
+const (
+	// maxDrainBytes and drainTimeout bound the rest of a response that is read only
+	// to keep the connection.
+	maxDrainBytes = 16 << 10
+	drainTimeout  = 50 * time.Millisecond
+)
+
 // Request is a request with its full body.
 type Request struct {
 	Method string
@@ -41,7 +49,9 @@
 type Conn struct {
 	pool   *pool
 	socket net.Conn
+	// reader buffers head, which bounds the heads that are read from socket.
 	reader *bufio.Reader
+	head   *headLimiter
 	// idleTimeout is the time after which the target closes the idle connection.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -113,8 +123,10 @@
 }
 
 // readHeader reads the header of the final response and skips informational
-// responses.
+// responses. It fails once the target has sent more than maxHeadBytes.
 func (c *Conn) readHeader(req *Request) (*http.Response, error) {
+	c.head.beginHead()
+	defer c.head.endHead()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
@@ -134,6 +146,24 @@
 	}
 }
 
+// Discard ends the exchange of a response whose body isn't needed. It keeps the
+// connection only if the rest of the body is short and arrives soon.
+func (e *Exchange) Discard() {
+	e.Finish(e.drain())
+}
+
+// drain reads the rest of the body and reports whether it has ended.
+func (e *Exchange) drain() bool {
+	if e.conn.socket.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(e.Response.Body, maxDrainBytes))
+	if err != nil || n == maxDrainBytes {
+		return false
+	}
+	return e.conn.socket.SetReadDeadline(time.Time{}) == nil
+}
+
 // Finish ends the exchange. The caller sets complete if it has read the response
 // to its end. The connection is returned to the pool if the response is complete
 // and no unread bytes are left; otherwise it is closed.
@@ -178,15 +208,14 @@
 	return timeout / divisor
 }
 
-// ReadAll reads the rest of the response body. It fails if the rest is longer than
-// limit bytes.
-func (e *Exchange) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(e.Response.Body, limit+1))
-	if err != nil {
-		return nil, errors.Annotate(err, "reading a response body")
+// ReadAll reads the rest of the response body into buffer. It fails if the rest is
+// longer than limit bytes, or if the buffer's budget leaves no room for it.
+func (e *Exchange) ReadAll(buffer *membudget.Buffer, limit int64) ([]byte, error) {
+	if e.Response.Body != http.NoBody && e.Response.ContentLength > limit {
+		return nil, errors.Annotatef(membudget.ErrTooLarge, "reading a response body of %d bytes", e.Response.ContentLength)
 	}
-	if int64(len(body)) > limit {
-		return nil, errors.Errorf("response body exceeds %d bytes", limit)
+	if err := buffer.ReadAll(e.Response.Body, limit); err != nil {
+		return nil, errors.Annotate(err, "reading a response body")
 	}
-	return body, nil
+	return buffer.Bytes(), nil
 }
