A buffered response has a deadline for each write to its caller

What could happen: a caller that doesn't read its response held the handler and the memory of the response (up to 8 MiB) without end, and a planned stop until the end of its grace period. Together such callers use up the memory budget, so that others get 502.

Cause: only the writes of stream events had a deadline.

Evidence, before: go test ./platform -run TestCallerThatNeverReads: "timed out waiting for: the end of the request" after 10 s, and then "the entry process returned waiting for requests: context deadline exceeded". After: green (5.1 s), also with the race detector.

Ruled out: one deadline for the whole response; it would cut off a caller that goes on reading slowly. TestSlowCaller fails with it (http.ErrHandlerTimeout turns into caller_left), and holds a caller that reads 5 KiB a second. That the deadline reaches the next request on the connection: net/http removes it at the end of each request.

Why it works: the response is written in parts of 16 KiB, each with the 5 s that stream events have.

--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -10,8 +11,13 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// maxResponseBytes bounds a response that is buffered until it is complete.
-const maxResponseBytes = 8 << 20
+const (
+	// maxResponseBytes bounds a response that is buffered until it is complete.
+	maxResponseBytes = 8 << 20
+	// maxWriteBytes bounds a single write of such a response to the caller, which has
+	// callerWriteTimeout for each.
+	maxWriteBytes = 16 << 10
+)
 
 // handleResponse reads the rest of the target's response and classifies it.
 func (q *request) handleResponse(a *attempt) outcome {
@@ -106,9 +112,12 @@
 	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.wroteHeader = true
-	if _, err := q.w.Write(body); err != nil {
-		q.mayHaveRun = true
-		q.handleDisconnect(a)
+	for part := range slices.Chunk(body, maxWriteBytes) {
+		q.setWriteDeadline()
+		if _, err := q.w.Write(part); err != nil {
+			q.mayHaveRun = true
+			q.handleDisconnect(a)
+		}
 	}
 	q.logDelivered(a)
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 )
 
-// callerWriteTimeout bounds a write of stream events to the caller.
+// callerWriteTimeout bounds a write to the caller.
 const callerWriteTimeout = 5 * time.Second
 
 // errStreamInterrupted indicates that a target's stream ended prematurely.
@@ -44,15 +44,21 @@
 	a.tracked.RecordFirstByte(now)
 	q.writeResponseHeader(a, now)
 	q.trackEvents(events)
-	// Setting the deadline fails only on a closed connection, where the write
-	// fails too.
-	_ = controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	q.setWriteDeadline()
 	if _, err := q.w.Write(events); err != nil {
 		return false
 	}
 	return controller.Flush() == nil
 }
 
+// setWriteDeadline bounds the following writes to the caller. The server removes the
+// deadline at the end of the request.
+func (q *request) setWriteDeadline() {
+	// Setting the deadline fails only on a closed connection, where the write fails
+	// too.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+}
+
 // writeResponseHeader writes the response header to the caller, unless an
 // earlier target's header has been written.
 func (q *request) writeResponseHeader(a *attempt, now time.Duration) {
