Log: write the rest of a batch that the output can't take at once, or count it

Cause: the log's writer ignored the result of each write, so that a short or failed write lost lines without a count.

--- a/pkg/eventlog/ring.go
+++ b/pkg/eventlog/ring.go
@@ -1,9 +1,14 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
 )
 
 // Limits of AsyncWriter.
@@ -12,6 +17,10 @@
 	queueCapacity = 2048
 	// maxBatchBytes is the batch size from which no further lines are added.
 	maxBatchBytes = 32 << 10
+	// writeRetryDelay is the delay before the rest of a batch is written again, and
+	// maxWriteRetries the number of attempts.
+	writeRetryDelay = 5 * time.Millisecond
+	maxWriteRetries = 200
 )
 
 // AsyncWriter is an io.Writer that passes lines to its output from a separate
@@ -72,9 +81,25 @@
 	for line := range w.lines {
 		batch = append(batch[:0], line...)
 		batch = w.appendQueued(batch)
-		// A failed write of the log itself cannot be logged.
-		_, _ = w.out.Write(batch)
+		w.writeOut(batch)
+	}
+}
+
+// writeOut writes a batch. An output that can't take all of it for the moment gets
+// the rest later. The lines that it doesn't take in time are counted as dropped.
+func (w *AsyncWriter) writeOut(batch []byte) {
+	for range maxWriteRetries {
+		n, err := w.out.Write(batch)
+		batch = batch[n:]
+		if len(batch) == 0 {
+			return
+		}
+		if err != nil && !errors.Is(err, syscall.EAGAIN) {
+			break
+		}
+		time.Sleep(writeRetryDelay)
 	}
+	w.dropped.Add(uint64(bytes.Count(batch, []byte("\n"))))
 }
 
 // appendQueued appends lines from the queue to batch, without waiting for new ones.
