Log: bound the memory of the queue and the length of a field

What could happen: a failed attempt is logged with the bytes that the target sent in place of a response, up to 64 KiB a line. While nobody reads the log, 2,048 such lines wait in memory, 128 MiB and more with escapes; an entry VM has 112 to 536 MB.

Cause: the queue of lines was bounded by their number alone.

Evidence, before: go test ./pkg/eventlog: TestQueueMemory 65,475,784 bytes for 1,000 lines of 64 KiB, "to be less than 8388608"; TestLongField 82,077 bytes, "to be less than 12288". After: green, three times with the race detector.

Ruled out: cutting in the relay alone; other lines hold texts of callers and peers too.

Why it works: the queue holds at most 4 MiB and drops lines beyond it, which are counted and logged as before; texts and errors are cut at 4 KiB.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -8,6 +8,9 @@
 	"github.com/go-kit/log"
 )
 
+// maxFieldBytes bounds a text or an error in a line; a longer one is cut.
+const maxFieldBytes = 4 << 10
+
 // Number identifies a kind of event. The numbers of removed events are not reused.
 type Number int
 
@@ -45,6 +48,25 @@
 func (l *Logger) Log(event Event, keyvals ...any) {
 	line := make([]any, 0, len(keyvals)+4)
 	line = append(line, "event", int(event.Number), "name", event.Name)
-	line = append(line, keyvals...)
+	for _, value := range keyvals {
+		line = append(line, shorten(value))
+	}
 	_ = l.logger.Log(line...)
 }
+
+// shorten returns a value of a line, cut to maxFieldBytes if it is a text or an error.
+func shorten(value any) any {
+	var text string
+	switch value := value.(type) {
+	case string:
+		text = value
+	case error:
+		text = value.Error()
+	default:
+		return value
+	}
+	if len(text) <= maxFieldBytes {
+		return value
+	}
+	return text[:maxFieldBytes] + "..."
+}
--- a/pkg/eventlog/ring.go
+++ b/pkg/eventlog/ring.go
@@ -1,6 +1,7 @@
 package eventlog
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,8 @@
 const (
 	// queueCapacity is the number of lines in the queue.
 	queueCapacity = 2048
+	// maxQueuedBytes bounds the memory of the lines in the queue.
+	maxQueuedBytes = 4 << 20
 	// maxBatchBytes is the batch size from which no further lines are added.
 	maxBatchBytes = 32 << 10
 )
@@ -21,7 +24,9 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    sync.WaitGroup
+	// queuedBytes is the size of the lines in the queue.
+	queuedBytes atomic.Int64
+	done        sync.WaitGroup
 
 	mu sync.RWMutex
 	// closed is set when the queue is closed. It must not change during a Write.
@@ -44,14 +49,28 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
+	if !w.enqueue(line) {
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue adds a copy of a line to the queue and reports false if the queue is full.
+func (w *AsyncWriter) enqueue(line []byte) bool {
+	size := int64(len(line))
+	if w.queuedBytes.Add(size) > maxQueuedBytes {
+		w.queuedBytes.Add(-size)
+		return false
+	}
+	select {
+	case w.lines <- bytes.Clone(line):
+		return true
+	default:
+		w.queuedBytes.Add(-size)
+		return false
+	}
+}
+
 // Dropped returns the number of lines dropped since the last call.
 func (w *AsyncWriter) Dropped() uint64 {
 	return w.dropped.Swap(0)
@@ -70,6 +89,7 @@
 func (w *AsyncWriter) run() {
 	batch := make([]byte, 0, maxBatchBytes)
 	for line := range w.lines {
+		w.queuedBytes.Add(-int64(len(line)))
 		batch = append(batch[:0], line...)
 		batch = w.appendQueued(batch)
 		// A failed write of the log itself cannot be logged.
@@ -85,6 +105,7 @@
 			if !ok {
 				return batch
 			}
+			w.queuedBytes.Add(-int64(len(line)))
 			batch = append(batch, line...)
 		default:
 			return batch
--- a/pkg/eventlog/ring_test.go
+++ b/pkg/eventlog/ring_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"errors"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/baobabhub/baobabhub/pkg/fake/endlessfake"
 )
 
 // TestWriteAfterClose guards against a request handler that ends in a panic because
@@ -22,3 +26,45 @@
 		So(w.Dropped(), ShouldEqual, 1)
 	})
 }
+
+// blockedWriter blocks each write until it is closed.
+type blockedWriter struct{ unblock chan struct{} }
+
+func (w blockedWriter) Write(p []byte) (int, error) {
+	<-w.unblock
+	return len(p), nil
+}
+
+// TestQueueMemory guards against a process that exceeds its memory limit because its
+// log lines hold what a faulty target sent, and nobody reads them.
+func TestQueueMemory(t *testing.T) {
+	Convey("While the log can't be written, its queue stays within its memory bound and counts what it drops", t, func() {
+		const lines, lineBytes = 1000, 64 << 10
+		out := blockedWriter{unblock: make(chan struct{})}
+		w := NewAsyncWriter(out)
+		line := make([]byte, lineBytes)
+		heap := endlessfake.HeapPeak(func() {
+			for range lines {
+				_, _ = w.Write(line)
+			}
+		})
+		So(heap, ShouldBeLessThan, 2*maxQueuedBytes)
+		So(w.Dropped(), ShouldBeGreaterThan, 0)
+		close(out.unblock)
+		w.Close()
+		So(w.queuedBytes.Load(), ShouldEqual, 0)
+	})
+}
+
+// TestLongField guards against log lines that hold up to 64 KiB of a target's garbage.
+func TestLongField(t *testing.T) {
+	Convey("Long texts and errors are cut, and other values are unchanged", t, func() {
+		var out bytes.Buffer
+		long := strings.Repeat("x", 10*maxFieldBytes)
+		New(&out, "entry", "vm-1").Log(AttemptFailed, "request_id", "r", "target", long, "err", errors.New(long), "status", 200)
+		So(out.Len(), ShouldBeLessThan, 3*maxFieldBytes)
+		So(out.String(), ShouldContainSubstring, `"request_id":"r"`)
+		So(out.String(), ShouldContainSubstring, `"status":200`)
+		So(out.String(), ShouldContainSubstring, strings.Repeat("x", maxFieldBytes)+"...")
+	})
+}
