Gossip: drop a datagram over the size limit

What could happen: a datagram longer than 60 KiB was cut at the limit; where the cut fell between two fields, the rest was decoded and taken for a complete state.

Why it works: the buffer holds one byte more than the largest message, so that a longer datagram is noticed and logged as invalid.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -193,7 +193,8 @@
 
 // Receive reads messages and passes them to OnMessage until Close is called.
 func (g *Gossip) Receive() {
-	buffer := make([]byte, maxMessageBytes)
+	// One byte more than a message shows that a datagram was longer.
+	buffer := make([]byte, maxMessageBytes+1)
 	for {
 		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -203,7 +204,7 @@
 			g.Log.Log(eventlog.PeerMessageInvalid, "from", "", "err", err)
 			continue
 		}
-		message, err := decode(buffer[:n])
+		message, err := decodeDatagram(buffer[:n])
 		if err != nil {
 			g.Log.Log(eventlog.PeerMessageInvalid, "from", from.String(), "err", err)
 			continue
@@ -214,6 +215,15 @@
 	}
 }
 
+// decodeDatagram decodes a message. One that exceeds the limit is an error, because its
+// rest is lost.
+func decodeDatagram(data []byte) (Message, error) {
+	if len(data) > maxMessageBytes {
+		return Message{}, errors.Errorf("datagram exceeds %d bytes", maxMessageBytes)
+	}
+	return decode(data)
+}
+
 // recordIfNewer reports whether a message is newer than all earlier messages
 // from the sender's current run, and records it if so.
 func (g *Gossip) recordIfNewer(m *Message) bool {
