Router: give up a silent agent only if another one can serve the request

What callers saw: a completion ended with target_failed after 2 x 300 ms in which its agent sent no frame, although the agent was sound and most of the route's time was left. The router also cancelled the answer that the agent was working on. A moment's silence of all agents ended a request in the same way, after each of them had been given up in turn.

Cause: before the first frame, an attempt was given up after one resume without a frame, so that another agent could take over, but without a check that another one may.

Now the attempt goes on resuming, up to ResumeTimeout, unless another live agent of the pool, a dispatch and a retry of the budget are left.

Evidence: TestAnswerOfSilentAgent, with one agent and with two, before: "Expected: nil Actual: 'target_failed: the connection to the target was lost'"; green now, with the race detector too. TestBrokenStreams (an agent without a first frame is resumed once, then another answers) stays green, unchanged.

Ruled out: more resumes in any case (a prompt would wait for a hung agent although another one is idle).

--- a/pkg/router/dispatch.go
+++ b/pkg/router/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/caller"
@@ -117,8 +118,8 @@
 	// resumeDelay is the delay before a resume if the preceding resume
 	// received no new frame.
 	resumeDelay = 50 * time.Millisecond
-	// maxUnansweredResumes bounds the resumes before the first frame arrives,
-	// so that the prompt is soon dispatched to another target.
+	// maxUnansweredResumes bounds the resumes before the first frame arrives, so
+	// that the prompt is soon dispatched to another target if there is one.
 	maxUnansweredResumes = 1
 )
 
@@ -139,7 +140,7 @@
 			go a.cancel()
 			return &outcome.Refusal{Code: outcome.CodeCancelled, Ran: a.ranAfterConnectionLoss(), Message: "the caller left"}
 		}
-		unanswered := a.nextSeq == 1 && resumesWithoutProgress >= maxUnansweredResumes
+		unanswered := a.nextSeq == 1 && resumesWithoutProgress >= maxUnansweredResumes && a.completion.hasAlternative(a.target.VMID)
 		if peer.IsConnectionRefused(err) || unanswered || time.Now().After(resumeDeadline) {
 			go a.cancel()
 			return &outcome.Refusal{Code: outcome.CodeTargetFailed, Ran: a.ranAfterConnectionLoss(),
@@ -161,6 +162,17 @@
 	return refusal
 }
 
+// hasAlternative reports whether the request may be dispatched to another target
+// than the one with the given VM.
+func (c *completion) hasAlternative(vmID string) bool {
+	if c.dispatches >= c.router.Options.MaxDispatches || c.router.retries.Level(time.Now()) < 1 {
+		return false
+	}
+	return slices.ContainsFunc(c.router.Directory.Targets(), func(target schedule.Target) bool {
+		return target.VMID != vmID && target.Pool == c.query.Pool && target.State == schedule.StateLive && !slices.Contains(c.query.Excluded, target.VMID)
+	})
+}
+
 // ranAfterConnectionLoss returns the Ran value of an attempt whose connection was
 // lost: RanYes if a frame was received, and RanUnknown otherwise.
 func (a *attempt) ranAfterConnectionLoss() outcome.Ran {
--- a/pkg/router/streams_test.go
+++ b/pkg/router/streams_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -82,6 +83,8 @@
 	// call.
 	leaving  bool
 	onCancel func(context.Context)
+	// silentUntil is the time until which the agent sends no frame.
+	silentUntil time.Time
 
 	script *script
 
@@ -168,6 +171,11 @@
 	s.mu.Lock()
 	s.streams++
 	s.mu.Unlock()
+	select {
+	case <-time.After(time.Until(s.silentUntil)):
+	case <-stream.Context().Done():
+		return nil
+	}
 	foreignFrame := func(id string, attempt uint32) *peerpb.Frame {
 		return &peerpb.Frame{RequestId: id, Attempt: attempt, Seq: seq,
 			Body: &peerpb.Frame_Delta{Delta: &peerpb.Delta{Text: "FOREIGN ", Tokens: 1}}}
@@ -322,6 +330,25 @@
 	})
 }
 
+// TestAnswerOfSilentAgent guards against a request that fails although its agent is
+// sound and only silent for a moment, and no other agent can serve it.
+func TestAnswerOfSilentAgent(t *testing.T) {
+	// Both silences are longer than the time after which an agent is replaced, and the
+	// second one is longer than that time for two agents.
+	for i, silence := range []time.Duration{400 * time.Millisecond, 670 * time.Millisecond} {
+		agents := i + 1
+		Convey("A request is answered if all agents are silent before their first frame: "+strconv.Itoa(agents), t, func() {
+			fixture := newRouterFixture(conveyContext{t}, make([][]connectionStep, agents)...)
+			for _, agent := range fixture.agents {
+				agent.silentUntil = time.Now().Add(silence)
+			}
+			sink := &recordingSink{}
+			So(fixture.router.Complete(t.Context(), fixture.request, sink), ShouldBeNil)
+			So(sink.text.String(), ShouldEqual, answerText(0))
+		})
+	}
+}
+
 func TestBrokenStreams(t *testing.T) {
 	Convey("Given a router with two agents", t, func() {
 		complete := func(fixture *routerFixture) (*recordingSink, *outcome.Refusal) {
