--- a/pkg/eventlog/ring_test.go
+++ b/pkg/eventlog/ring_test.go
@@ -72,6 +72,8 @@
 		_, _ = w.Write([]byte("line\n"))
 		w.Close()
 		So(w.Dropped(), ShouldEqual, 1)
+	})
+}
 
 // blockedWriter blocks each write until it is closed.
 type blockedWriter struct{ unblock chan struct{} }
