A begun stream whose only remaining target is gone returns to those asked before

What callers saw: a begun stream ended at its deadline, although the target that had begun it would have continued it. Its second target had rejected it and was to be asked again; when that one left the registry, the request waited for it alone. Cause: one target was remembered as the only one that may still be asked. Now the request remembers all targets that count against the route's attempts, and chooses among them when the preferred one is not to be had (balance.Request.Allowed in place of Only).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -49,9 +49,9 @@
 	Stores []string
 	// Excluded holds the IDs of the targets that have already been tried.
 	Excluded map[string]bool
-	// Only, if set, is the ID of the only target that may be chosen, also if it
-	// has been tried.
-	Only string
+	// Allowed, if not nil, holds the IDs of the only targets that may be chosen, also
+	// if they have been tried.
+	Allowed map[string]bool
 	// MaxExpectedTTFB is the longest acceptable expected time to the first byte;
 	// 0 means no limit.
 	MaxExpectedTTFB time.Duration
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -107,8 +107,8 @@
 // allows reports whether a target may be chosen, given those that have been
 // tried.
 func (r *Request) allows(id string) bool {
-	if r.Only != "" {
-		return id == r.Only
+	if r.Allowed != nil {
+		return r.Allowed[id]
 	}
 	return !r.Excluded[id]
 }
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -9,12 +9,12 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// chooseTarget selects the next target, or returns a refusal if there is none. only,
-// if set, is the ID of the only target that may be chosen.
-func (q *request) chooseTarget(excluded map[string]bool, only string) (balance.Choice, *refusal) {
+// chooseTarget selects the next target, or returns a refusal if there is none.
+// allowed, if not nil, holds the IDs of the only targets that may be chosen.
+func (q *request) chooseTarget(excluded, allowed map[string]bool) (balance.Choice, *refusal) {
 	relay := q.relay
 	req := q.balanceRequest()
-	req.Excluded, req.Only = excluded, only
+	req.Excluded, req.Allowed = excluded, allowed
 	choice, rejection := relay.Balancer.Pick(relay.Now(), req, relay.Targets())
 	if rejection == nil {
 		return choice, nil
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -48,11 +48,13 @@
 	// active is nil once the request has its final response.
 	active  *attempt
 	standby *attempt
-	// onlyTarget, if set, is the only target that the request may still be sent to.
-	onlyTarget string
+	// used holds the IDs of the targets that count against the route's attempts. The
+	// request may be sent to them again.
+	used map[string]bool
+	// allowed, if not nil, holds the IDs of the only targets that may be chosen next.
+	allowed map[string]bool
 	// spareTarget is the target of the latest attempt that this process ended because
-	// another one had a response first. It counts against the route's attempts already,
-	// so that it may be sent the request again.
+	// another one had a response first, or of a standby that its target rejected.
 	spareTarget string
 	// silence fires when the active attempt's target has been silent for too long.
 	silence *time.Timer
@@ -66,7 +68,7 @@
 func (q *request) sendWithRetries(ctx context.Context) {
 	q.relay.Retries.RecordRequest(q.service, q.relay.Processes())
 	d := &dispatcher{
-		q: q, ctx: ctx, excluded: map[string]bool{},
+		q: q, ctx: ctx, excluded: map[string]bool{}, used: map[string]bool{},
 		silence: time.NewTimer(time.Hour), callerLeaves: time.NewTimer(q.untilCallerLeaves()),
 		controller: http.NewResponseController(q.w),
 	}
@@ -154,11 +156,14 @@
 	if q.callerConnClosed() {
 		q.handleDisconnect(&attempt{})
 	}
-	choice, refusal := q.chooseTarget(d.excluded, d.onlyTarget)
+	choice, refusal := q.chooseTarget(d.excluded, d.allowed)
 	for refusal != nil && q.mayWaitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
 		clear(d.excluded)
-		choice, refusal = q.chooseTarget(d.excluded, d.onlyTarget)
+		if d.allowed != nil {
+			d.allowed = d.used
+		}
+		choice, refusal = q.chooseTarget(d.excluded, d.allowed)
 	}
 	if refusal != nil {
 		q.refuse(*refusal)
@@ -187,17 +192,17 @@
 func (d *dispatcher) beginStandby() {
 	q := d.q
 	d.active.silences++
-	only, allowed := d.standbyLimit()
-	if !allowed {
+	mayBegin, allowed := d.standbyTargets()
+	if !mayBegin {
 		d.logSilence("", "no_attempts_left")
 		return
 	}
-	if only != "" && d.active.silences < silencesBeforeSpare {
+	if allowed != nil && d.active.silences < silencesBeforeSpare {
 		d.watchSilence()
 		return
 	}
 	d.excluded[d.active.choice.Target.ID] = true
-	choice, refusal := q.chooseTarget(d.excluded, only)
+	choice, refusal := q.chooseTarget(d.excluded, allowed)
 	switch {
 	case refusal != nil:
 		d.logSilence("", refusal.reason)
@@ -212,16 +217,18 @@
 	}
 }
 
-// standbyLimit reports whether a standby is allowed. Once the route's attempts are
-// used, only may be the spare target.
-func (d *dispatcher) standbyLimit() (only string, allowed bool) {
+// standbyTargets reports whether a standby may begin. Once the route's attempts are
+// used, it may begin only at the spare target, which allowed then holds.
+func (d *dispatcher) standbyTargets() (mayBegin bool, allowed map[string]bool) {
 	switch {
 	case d.q.remaining() <= 0:
-		return "", false
+		return false, nil
 	case d.countedAttempts+1 < d.q.route.MaxAttempts:
-		return "", true
+		return true, nil
+	case d.spareTarget == "":
+		return false, nil
 	default:
-		return d.spareTarget, d.spareTarget != ""
+		return true, map[string]bool{d.spareTarget: true}
 	}
 }
 
@@ -268,7 +275,7 @@
 	d.keepSpare(silent)
 }
 
-// keepSpare remembers the target of an attempt that this process ended.
+// keepSpare remembers the target of an ended attempt as one that may be asked again.
 func (d *dispatcher) keepSpare(a *attempt) {
 	if a.sent {
 		d.spareTarget = a.choice.Target.ID
@@ -310,6 +317,7 @@
 		}
 	}
 	d.countedAttempts++
+	d.used[a.choice.Target.ID] = true
 	d.excluded[a.choice.Target.ID] = true
 	return false
 }
@@ -351,10 +359,11 @@
 	case q.mayResend(result, d.countedAttempts):
 		d.begin()
 	case d.spareTarget != "" && q.mayRepeat():
-		d.onlyTarget, d.spareTarget = d.spareTarget, ""
+		d.allowed = map[string]bool{d.spareTarget: true}
+		d.spareTarget = ""
 		d.begin()
 	case q.mayAskAgain(d.ctx, result):
-		d.onlyTarget = a.choice.Target.ID
+		d.allowed = map[string]bool{a.choice.Target.ID: true}
 		d.begin()
 	default:
 		d.finish(a, result)
