Ask the target of a rejected or failed second attempt again

A second attempt that its target rejected, or that failed, was the end of it: no timer was set again and the target not asked any more. If the first target then stayed mute or broke off, a begun stream was closed with time left. Now such a target is the one to ask again: half a second after a rejection, after two silences otherwise, or at once when the active attempt fails, within the retry budget. Evidence: TestStandbyOfFullTarget, both cases "unexpected EOF" before.

--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -19,6 +19,9 @@
 	// streamSilence is the time without an event of a resumable stream after which a
 	// second attempt begins.
 	streamSilence = 1500 * time.Millisecond
+	// rejectedStandbyDelay is the delay before another standby begins after a target
+	// has rejected one.
+	rejectedStandbyDelay = 500 * time.Millisecond
 	// silencesBeforeSpare is the number of such times without an event after which the
 	// spare target is asked, which has been silent itself or was slower before.
 	silencesBeforeSpare = 2
@@ -390,10 +393,18 @@
 		d.deliver(a)
 	case callerDisconnected, deadlineExceeded:
 		// The active attempt ends for the same reason.
+	case notRun:
+		d.countAttempt(a, result)
+		d.keepSpare(a)
+		d.active.silences = silencesBeforeSpare
+		d.silence.Reset(rejectedStandbyDelay)
 	default:
 		if d.countAttempt(a, result) || d.countedAttempts+1 < d.q.route.MaxAttempts {
 			d.beginStandby()
+			return
 		}
+		d.keepSpare(a)
+		d.watchSilence()
 	}
 }
 
