A second attempt that reached no target leaves its retry to the next one

A standby that could not connect kept the retry that it had taken from the budget, and the next one took a second. With few retries left, a repeatable request beside a mute target ended with "deadline" although a sound target was idle. TestRetriesOfStandby was red before ("deadline" in place of the answer).

--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -107,7 +107,7 @@
 		}
 		d.handleStandbyEnd()
 	case <-d.silence.C:
-		d.beginStandby()
+		d.beginStandby(false)
 	case <-d.callerLeaves.C:
 		d.answerBeforeCallerLeaves()
 	}
@@ -191,8 +191,9 @@
 }
 
 // beginStandby starts a second attempt at another target, if one is allowed. The
-// active attempt goes on.
-func (d *dispatcher) beginStandby() {
+// active attempt goes on. hasRetry is set if a retry of the budget has been consumed
+// for it.
+func (d *dispatcher) beginStandby(hasRetry bool) {
 	q := d.q
 	d.active.silences++
 	mayBegin, allowed := d.standbyTargets()
@@ -210,7 +211,7 @@
 	case refusal != nil:
 		d.logSilence("", refusal.reason)
 		d.watchSilence()
-	case !q.tryRetry():
+	case !hasRetry && !q.tryRetry():
 		d.logSilence("", "retry_budget")
 		d.watchSilence()
 	default:
@@ -399,8 +400,10 @@
 		d.active.silences = silencesBeforeSpare
 		d.silence.Reset(rejectedStandbyDelay)
 	default:
-		if d.countAttempt(a, result) || d.countedAttempts+1 < d.q.route.MaxAttempts {
-			d.beginStandby()
+		// The retry of an attempt that reached no target is left for the next one.
+		hasRetry := d.countAttempt(a, result)
+		if hasRetry || d.countedAttempts+1 < d.q.route.MaxAttempts {
+			d.beginStandby(hasRetry)
 			return
 		}
 		d.keepSpare(a)
