Write the end of a stream with a deadline of its own

What callers saw: a stream whose target ended it more than 5 s after its last event was closed without its end, although all of it had arrived. Cause: the deadline for writing an event to the caller also held for the end of the response, however much later that came. Evidence: TestLateEndOfStream, "unexpected EOF" after all events before.

--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -85,6 +85,8 @@
 // finishStream ends the response of a complete stream and reports whether the
 // caller could be written to.
 func (q *request) finishStream(a *attempt, controller *http.ResponseController) bool {
+	// The end of the response is written when the handler has returned.
+	q.setWriteDeadline()
 	q.writeResponseHeader(a, q.relay.Now())
 	if controller.Flush() != nil {
 		return false
