A begun stream waits for the retry budget as long as its time allows

What callers saw: a begun stream whose target broke off was closed in the middle, with time left, because the retry budget was used up at that moment. Cause: the budget was asked once. Before the first event that is right, since the caller is told when to come back. Evidence: TestBegunStreamWithoutRetries, from the review, "unexpected EOF" with 3 s left before.

--- a/pkg/relay/attemptlimits.go
+++ b/pkg/relay/attemptlimits.go
@@ -40,27 +40,27 @@
 
 // mayResend reports whether the request may be sent to another target. It
 // consumes one retry of the service's budget if so.
-func (q *request) mayResend(result outcome, countedAttempts int) bool {
+func (q *request) mayResend(ctx context.Context, result outcome, countedAttempts int) bool {
 	if result == deadlineExceeded || countedAttempts >= q.route.MaxAttempts || q.remaining() <= 0 {
 		return false
 	}
 	if result != notRun && !q.route.Retryable() {
 		return false
 	}
-	return q.tryRetry()
+	return q.takeRetry(ctx)
 }
 
 // mayRepeat reports whether the request may be sent again to a target that it has
 // been sent to. It consumes one retry of the service's budget if so.
-func (q *request) mayRepeat() bool {
-	return q.route.Retryable() && q.remaining() > 0 && q.tryRetry()
+func (q *request) mayRepeat(ctx context.Context) bool {
+	return q.route.Retryable() && q.remaining() > 0 && q.takeRetry(ctx)
 }
 
 // mayAskAgain reports whether the target that rejected the continuation of a
 // stream may be asked again, and waits a moment if so. Asking the same target again
 // does not count as a further attempt.
 func (q *request) mayAskAgain(ctx context.Context, result outcome) bool {
-	return result == notRun && q.wroteHeader && q.hasTimeToWait() && q.tryRetry() && clock.Sleep(ctx, resumeRetryDelay)
+	return result == notRun && q.wroteHeader && q.hasTimeToWait() && q.takeRetry(ctx) && clock.Sleep(ctx, resumeRetryDelay)
 }
 
 // mayWaitForTarget reports whether a target for the rest of a stream may be chosen
@@ -75,6 +75,17 @@
 	return q.remaining() > 2*resumeRetryDelay
 }
 
+// takeRetry consumes one retry of the service's budget and reports whether there was
+// one. A begun stream waits for one while time is left.
+func (q *request) takeRetry(ctx context.Context) bool {
+	for !q.tryRetry() {
+		if !q.mayWaitForTarget(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
 func (q *request) tryRetry() bool {
 	return q.relay.Retries.TryRetry(q.service, q.relay.Processes())
 }
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -360,9 +360,9 @@
 	case unreached:
 		d.active = nil
 		q.refuse(q.notRunRefusal(reason))
-	case q.mayResend(result, d.countedAttempts):
+	case q.mayResend(d.ctx, result, d.countedAttempts):
 		d.begin()
-	case d.spareTarget != "" && q.mayRepeat():
+	case d.spareTarget != "" && q.mayRepeat(d.ctx):
 		d.allowed = map[string]bool{d.spareTarget: true}
 		d.spareTarget = ""
 		d.begin()
