Agent: ask once more for the stream of a request whose response was late

What callers saw: a completion ended with target_failed ("the engine broke off before its answer began", may have run), although the engine was running it. The silence limit of the engine's streams (1 s by default) also bounds the wait for the response header, so that a sound engine that pauses for a little longer loses the request.

Cause: a stream that breaks after its header is resumed; one whose header doesn't come was given up at once.

Now a start whose response is lost is followed by one resume from the first chunk. It starts no run: an engine that doesn't have the request says so, and the outcome stays "may have run". Only one, since an engine that died answers neither, and another target can take over.

Evidence: TestAnswerOfSilentEngine, first case, before: "Expected: nil Actual: 'code:"target_failed" ran:2 message:"the engine broke off before its answer began"'"; green now. Package green with the race detector. Shown with the package's stub of an engine; not tried against a paused engine process.

--- a/pkg/agent/prompt.go
+++ b/pkg/agent/prompt.go
@@ -49,7 +49,7 @@
 		return refusal
 	}
 	request := engineRequest(req)
-	stream, err := a.target.engine.Generate(ctx, request)
+	stream, err := a.generate(ctx, request)
 	if err != nil {
 		return generateRefusal(ctx, err)
 	}
@@ -57,6 +57,23 @@
 	return relay.run(ctx, stream)
 }
 
+// generate starts a request at the engine. If the response is lost, the engine may
+// run the request nevertheless, so its stream is requested once more. The error is
+// that of the start, since that of the resume doesn't tell whether the request runs.
+func (a *Agent) generate(ctx context.Context, request engine.Request) (engine.Stream, error) {
+	stream, err := a.target.engine.Generate(ctx, request)
+	if !errors.Is(err, engine.ErrConnectionLost) || ctx.Err() != nil {
+		return stream, errors.Trace(err)
+	}
+	const firstChunk = 1
+	resumed, resumeErr := a.target.engine.Resume(ctx, request.ID, firstChunk)
+	if resumeErr != nil {
+		return nil, errors.Trace(err)
+	}
+	a.log.Log(eventlog.EngineStreamResumed, "request_id", request.ID, "chunk", firstChunk)
+	return resumed, nil
+}
+
 // engineRequestID returns the ID of an attempt at the engine and in the queue.
 func engineRequestID(req *peerpb.DispatchRequest) string {
 	return fmt.Sprintf("%s#%d", req.RequestId, req.Attempt)
--- a/pkg/agent/streams_test.go
+++ b/pkg/agent/streams_test.go
@@ -41,6 +41,9 @@
 	pad int
 	// permits, if not nil, delays each chunk until a value is received from it.
 	permits chan struct{}
+	// lateResponses makes Generate return no stream, although the engine runs the
+	// request.
+	lateResponses bool
 
 	mu          sync.Mutex
 	script      []step
@@ -71,6 +74,9 @@
 }
 
 func (e *stubEngine) Generate(ctx context.Context, _ engine.Request) (engine.Stream, error) {
+	if e.lateResponses {
+		return nil, engine.ErrConnectionLost
+	}
 	return &stubStream{engine: e, ctx: ctx, seq: 1}, nil
 }
 
@@ -313,6 +319,30 @@
 	})
 }
 
+// TestAnswerOfSilentEngine guards against a request that fails although its engine
+// runs it and was only silent for a moment before its response.
+func TestAnswerOfSilentEngine(t *testing.T) {
+	dispatch := func(e *stubEngine) *receivedAnswer {
+		h := newHarness(conveyScope{t}, e)
+		stream, err := h.open(t.Context(), 0)
+		So(err, ShouldBeNil)
+		a := &receivedAnswer{nextSeq: 1}
+		So(a.read(stream, 100), ShouldBeNil)
+		return a
+	}
+	Convey("A request whose response header is late gets the whole answer", t, func() {
+		a := dispatch(&stubEngine{chunks: 3, lateResponses: true})
+		So(a.refusal, ShouldBeNil)
+		So(a.text.String(), ShouldEqual, fullText(3))
+	})
+	Convey("A request that the engine doesn't have may have run", t, func() {
+		a := dispatch(&stubEngine{chunks: 3, lateResponses: true, streamsLost: true})
+		So(a.refusal, ShouldNotBeNil)
+		So(a.refusal.Code, ShouldEqual, string(outcome.CodeTargetFailed))
+		So(a.refusal.Ran, ShouldEqual, uint32(outcome.RanUnknown))
+	})
+}
+
 func TestAnswerReaders(t *testing.T) {
 	Convey("Given an agent with an engine", t, func() {
 		Convey("a reader that reads nothing limits how much is read from the engine", func() {
