Planned stop: refuse requests that arrive after the leave notice

What callers saw: a stream that was taken 5.3 s after the stop signal, on a connection that had been kept, was cut in the middle 1.7 s later, at the end of the grace period.

Cause: a process that drains served new requests on the connections that it still kept, up to the end of the drain, although their responses might not end before it. The drain by callerserver keeps connections open for longer than net/http's Shutdown did, so it made this more likely.

Fix: after the leave notice, when the balancer has had time to send callers elsewhere, a request is refused with 503 and the reason "stopping": it has not run, and its caller is told when to come back. Connections without a request are closed after 200 ms in place of 500 ms.

--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -25,7 +25,7 @@
 	maxHeaderBytes = 1 << 20
 	// drainLinger is the time for which a drain keeps a connection open on which
 	// no request has begun to arrive.
-	drainLinger = 500 * time.Millisecond
+	drainLinger = 200 * time.Millisecond
 	// drainPollInterval is the interval at which a drain looks for open connections.
 	drainPollInterval = 10 * time.Millisecond
 )
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -124,6 +124,8 @@
 	overdueDetector *overdueConfigDetector
 
 	stopping atomic.Bool
+	// refusing is set after the leave notice, when new requests are refused.
+	refusing atomic.Bool
 	// cutRequests is the number of requests that the drain left unanswered.
 	cutRequests int64
 	// drainExpired is cancelled by expireDrain when the requests still in
@@ -183,6 +185,7 @@
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
 		OnLeaving:     e.leaving.observe,
 		Stopping:      e.stopping.Load,
+		Refusing:      e.refusing.Load,
 		DrainExpired:  e.drainExpired,
 		Processes:     e.members.processCount,
 		Retries:       relay.NewRetryBudgets(settings.RetryRatio, settings.RetryBurst),
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -42,8 +42,8 @@
 
 // serve serves callers, readiness checks and metrics until stopCtx is cancelled,
 // and then drains: it first reports that it is not ready, then stops accepting
-// connections and finally waits for the requests in progress. Requests that
-// remain near the end of the grace period get a response without waiting for
+// connections, refuses new requests and finally waits for those in progress.
+// Requests that remain near the end of the grace period get a response without waiting for
 // their targets.
 func (e *Entry) serve(stopCtx context.Context) error {
 	callers := callerserver.New(callerserver.Config{
@@ -105,6 +105,7 @@
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
 	e.lease.release()
 	clock.Sleep(context.Background(), e.settings.LeaveNotice)
+	e.refusing.Store(true)
 	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin)
 	expireTimer := time.AfterFunc(time.Until(drainDeadline), e.expireDrain)
 	defer expireTimer.Stop()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -55,6 +55,9 @@
 	// Stopping reports whether the process is stopping, in which case
 	// connections are closed after the response.
 	Stopping func() bool
+	// Refusing reports whether new requests are refused because the process is about
+	// to exit: their responses might be cut.
+	Refusing func() bool
 	// DrainExpired is cancelled during a planned stop, when the requests in
 	// progress must get their final response before the process exits.
 	DrainExpired context.Context
@@ -146,6 +149,9 @@
 	if q.config == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "not_ready", retryAfter: notReadyRetryAfter}
 	}
+	if q.relay.Refusing() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: notRunRetryAfter}
+	}
 	if q.meta.ID == "" {
 		return &refusal{status: http.StatusBadRequest, reason: "no_request_id"}
 	}
