--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// drainMargin is the part of the grace period that remains when the process
-	// stops waiting for targets.
-	drainMargin = time.Second
+	// maxDrainMargin and drainMarginDivisor limit the part of the grace period that
+	// remains when the process stops waiting for targets.
+	maxDrainMargin     = time.Second
+	drainMarginDivisor = 6
 	// finalResponseTimeout is the time that the remaining requests then have to
 	// write their final responses.
 	finalResponseTimeout = 500 * time.Millisecond
@@ -106,7 +107,7 @@
 	e.lease.release()
 	clock.Sleep(context.Background(), e.settings.LeaveNotice)
 	e.refusing.Store(true)
-	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin)
+	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin(e.settings.StopGrace))
 	expireTimer := time.AfterFunc(time.Until(drainDeadline), e.expireDrain)
 	defer expireTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalResponseTimeout))
@@ -121,6 +122,12 @@
 	return nil
 }
 
+// drainMargin returns the part of a grace period that remains when the process stops
+// waiting for targets.
+func drainMargin(grace time.Duration) time.Duration {
+	return min(maxDrainMargin, grace/drainMarginDivisor)
+}
+
 func (e *Entry) readyHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -10,8 +11,13 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// maxResponseBytes bounds a response that is buffered until it is complete.
-const maxResponseBytes = 8 << 20
+const (
+	// maxResponseBytes bounds a response that is buffered until it is complete.
+	maxResponseBytes = 8 << 20
+	// maxWriteBytes bounds a single write of such a response to the caller, which has
+	// callerWriteTimeout for each.
+	maxWriteBytes = 16 << 10
+)
 
 // handleResponse reads the rest of the target's response and classifies it.
 func (q *request) handleResponse(a *attempt) outcome {
@@ -33,8 +39,8 @@
 }
 
 func (q *request) handleNotRun(a *attempt) outcome {
-	_, err := a.exchange.ReadAll(maxResponseBytes)
-	a.exchange.Finish(err == nil)
+	// The head alone guarantees that the request did not run.
+	a.exchange.Discard()
 	misdirected := a.exchange.Response.StatusCode == http.StatusMisdirectedRequest
 	if misdirected && !a.responseMeta.InstanceMismatch && a.choice.Version > 0 {
 		q.relay.Balancer.RecordMismatch(q.relay.Now(), a.choice.Target.Boot(), q.meta.Model, a.choice.Version, a.responseMeta.WeightsVersion)
@@ -63,7 +69,7 @@
 // readBuffered reads the complete response before any of it is forwarded, so that a
 // truncated one is never sent to the caller.
 func (q *request) readBuffered(a *attempt) outcome {
-	body, err := a.exchange.ReadAll(maxResponseBytes)
+	body, err := a.exchange.ReadAll(a.buffer, maxResponseBytes)
 	if err != nil {
 		a.exchange.Finish(false)
 		a.err = err
@@ -78,7 +84,7 @@
 // handleErrorResponse buffers the target's error response, which is forwarded
 // unchanged if the request isn't retried.
 func (q *request) handleErrorResponse(a *attempt) outcome {
-	body, err := a.exchange.ReadAll(maxResponseBytes)
+	body, err := a.exchange.ReadAll(a.buffer, maxResponseBytes)
 	if err != nil {
 		a.exchange.Finish(false)
 		a.err = err
@@ -106,9 +112,12 @@
 	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.wroteHeader = true
-	if _, err := q.w.Write(body); err != nil {
-		q.mayHaveRun = true
-		q.handleDisconnect(a)
+	for part := range slices.Chunk(body, maxWriteBytes) {
+		q.setWriteDeadline()
+		if _, err := q.w.Write(part); err != nil {
+			q.mayHaveRun = true
+			q.handleDisconnect(a)
+		}
 	}
 	q.logDelivered(a)
 }
--- a/pkg/relay/virtualtime_test.go
+++ b/pkg/relay/virtualtime_test.go
@@ -22,6 +22,7 @@
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -108,7 +109,7 @@
 	config := fleet.NewConfig(1, fleet.ClientLimits{}, []fleet.Route{route}, []fleet.Service{{Name: "s"}}, nil, nil)
 	w.relay = New(Config{
 		Codec: testCodec{}, Balancer: balance.New("p", "", time.Hour, rand.New(rand.NewPCG(1, 2))),
-		Pools: targetconn.NewPoolsWithDialer(w.dial), Log: eventlog.New(&w.log, "entry", "vm"), Metrics: tally.NoopScope, Now: w.now,
+		Pools: targetconn.NewPoolsWithDialer(w.dial), Buffers: membudget.New(64 << 20), Log: eventlog.New(&w.log, "entry", "vm"), Metrics: tally.NoopScope, Now: w.now,
 		CurrentConfig: func() *fleet.Config { return config }, Targets: func() []fleet.Target { return listed },
 		OnLeaving: func(fleet.Boot) {}, Stopping: func() bool { return false }, Refusing: func() bool { return false }, DrainExpired: context.Background(),
 		Processes: func() int { return 1 }, Retries: NewRetryBudgets(0, 100),
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -89,6 +89,7 @@
 		req.Header.Set(platformfake.HeaderPromptPrefix, "a:200,"+id+":100")
 	}
 	startedAt := time.Now()
+	c.deployment.recorder.recordSent(startedAt)
 	c.checkResponse(p, id, route, body, startedAt, c.roundTrip(req))
 }
 
@@ -135,11 +136,14 @@
 	}
 	switch {
 	case r.err != nil:
-		// A stream that its target aborts can only end with a broken connection.
+		// Once a stream has begun, its failure can only be shown by a broken connection.
 		brokenStream := r.status == http.StatusOK && (route == "stream" || route == "resume")
 		if !mayFail && !brokenStream {
 			c.deployment.recorder.failf("%s: no complete response: %v", description, r.err)
 		}
+		if !mayFail && brokenStream {
+			c.requireExplanation(p, id, route, startedAt, endedAt, description+": broken stream")
+		}
 		if brokenStream && !strings.HasPrefix(expected, r.body) {
 			c.deployment.recorder.failf("%s: the %d bytes received are not a prefix of the expected stream", description, len(r.body))
 		}
@@ -151,7 +155,19 @@
 		if r.header.Get("Retry-After") == "" {
 			c.deployment.recorder.failf("%s: status %d without a Retry-After header", description, r.status)
 		}
-	case r.status < http.StatusInternalServerError:
+	case r.status == http.StatusGatewayTimeout:
+		if !mayFail {
+			c.requireTimeout(p, route, startedAt, endedAt, description+": status 504")
+		}
+	case r.status == http.StatusInternalServerError:
+		if !c.deployment.recorder.hasFault(id, faultStatus500) {
+			c.deployment.recorder.failf("%s: status 500, but no target responded with it", description)
+		}
+	case r.status >= http.StatusInternalServerError:
+		if !mayFail {
+			c.requireExplanation(p, id, route, startedAt, endedAt, fmt.Sprintf("%s: status %d", description, r.status))
+		}
+	default:
 		c.deployment.recorder.failf("%s: unexpected status %d", description, r.status)
 	}
 }
@@ -175,11 +191,13 @@
 	defer rec.mu.Unlock()
 	for id, n := range rec.received {
 		// maxRejections bounds the attempts that targets reject without running them.
-		const maxRuns, maxRejections = 2, 4
-		if n > maxRuns+maxRejections || rec.runs[id] > maxRuns {
+		const maxRejections = 4
+		if n > rec.runs[id]+maxRejections {
 			rec.failures = append(rec.failures, fmt.Sprintf("request %s reached targets %d times and ran %d times", id, n, rec.runs[id]))
 		}
 	}
+	rec.checkTargetsPerRequest()
+	rec.checkRetryBudget()
 	for salt, accounts := range rec.accountsBySalt {
 		if len(accounts) > 1 && accounts["t2"] {
 			rec.failures = append(rec.failures, fmt.Sprintf("cache salt %q of an isolated account is shared with another account", salt))
