Final response 25 ms before the caller stops waiting, in place of 50

The review measured what the lead costs: of a target that answers 15 to 45 ms before the caller's deadline the caller got 504 in place of the answer. The way to a caller takes milliseconds.

--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -27,7 +27,7 @@
 	silencesBeforeSpare = 2
 	// finalResponseLead is the time by which the final response to a request without a
 	// usable one precedes the end of its caller's wait, so that it still arrives.
-	finalResponseLead = 50 * time.Millisecond
+	finalResponseLead = 25 * time.Millisecond
 	// minLeadDivisor bounds that time by a part of the caller's wait.
 	minLeadDivisor = 10
 )
