A stream without a length that ends within an event is not complete

What callers saw: an event stream without length or chunks, whose connection was closed in the middle of an event, reached them as a complete answer with half an event. Cause: the end of the connection counted as the end of the stream wherever it came. Such a stream is complete only at the end of an event; else it counts as broken off, and a resumable one is continued. Streams with framing, and bodies that are no event stream, arrive unchanged as before (TestEventReaderPreservesBytes). Found in the review.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"mime"
+	"net/http"
 
 	"github.com/juju/errors"
 
@@ -31,16 +33,26 @@
 	// number of bytes that have been searched for its end.
 	blockStart int
 	scanned    int
+	// endsWithEvent is set if the body can be complete only at the end of an event.
+	endsWithEvent bool
 }
 
 func newEventReader(body io.Reader, buffer *membudget.Buffer) *eventReader {
 	return &eventReader{body: body, buffer: buffer}
 }
 
+// endsWithEvent reports whether a response can be complete only at the end of an
+// event: its header tells no length, and the connection may be closed anywhere.
+func endsWithEvent(resp *http.Response) bool {
+	hasFraming := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return !hasFraming && err == nil && mediaType == "text/event-stream"
+}
+
 // next reads once from the body and returns the complete events received so far,
 // if any; they are valid until the next call. With io.EOF, next returns the
 // unmodified remainder of the stream. With any other error, a truncated event is
-// not returned.
+// not returned; io.ErrUnexpectedEOF means that a stream ended within one.
 func (r *eventReader) next() ([]byte, error) {
 	r.discardConsumed()
 	err := r.buffer.ReadOnce(r.body, maxEventBytes)
@@ -49,10 +61,14 @@
 	}
 	data := r.buffer.Bytes()
 	r.scan(data)
-	if errors.Is(err, io.EOF) {
-		r.consumed = len(data)
+	if !errors.Is(err, io.EOF) {
+		return data[:r.consumed], err
+	}
+	if r.endsWithEvent && r.blockStart < len(data) {
+		return data[:r.consumed], io.ErrUnexpectedEOF
 	}
-	return data[:r.consumed], err
+	r.consumed = len(data)
+	return data, err
 }
 
 func (r *eventReader) discardConsumed() {
