--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/juju/errors"
 
@@ -17,6 +18,9 @@
 // without an event.
 const errEventTooLarge = errors.ConstError("server-sent event exceeds the size limit")
 
+// eventFields holds the names of the fields of an event.
+var eventFields = []string{"data", "event", "id", "retry"}
+
 // eventReader splits a stream of server-sent events into complete events. An event
 // is a block of lines that ends with an empty line. A block without any field or
 // comment is no event; it is returned only together with a later event or at the end
@@ -94,9 +98,9 @@
 		from += i + 1
 		rest := data[from:]
 		switch {
-		case bytes.HasPrefix(rest, []byte("\n")):
+		case len(rest) > 0 && rest[0] == '\n':
 			return from + 1
-		case bytes.HasPrefix(rest, []byte("\r\n")):
+		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
 			return from + 2
 		}
 	}
@@ -105,15 +109,23 @@
 // isEvent reports whether a block of lines has a field of an event or a comment.
 func isEvent(block []byte) bool {
 	for line := range bytes.Lines(block) {
-		name, _, hasColon := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
-		switch string(name) {
-		case "data", "event", "id", "retry":
+		if isEventLine(line) {
 			return true
-		case "":
-			if hasColon {
-				return true
-			}
 		}
 	}
 	return false
 }
+
+// isEventLine reports whether a line is a field of an event or a comment. A line
+// without a colon is the name of a field without a value.
+func isEventLine(line []byte) bool {
+	switch line[0] {
+	case ':':
+		return true
+	case 'd', 'e', 'i', 'r':
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		return slices.Contains(eventFields, string(name))
+	default:
+		return false
+	}
+}
