--- a/pkg/fake/loopback/loopback.go
+++ b/pkg/fake/loopback/loopback.go
@@ -20,16 +20,27 @@
 )
 
 // FreeAddress returns a loopback address, host:port, on which no process
-// listens at the time of the call.
+// listens at the time of the call, neither on TCP nor on UDP.
 func FreeAddress() (string, error) {
 	var lastErr error
 	for range maxAttempts {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portLimit-firstPort))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, errors.Trace(listener.Close())
+		if lastErr = checkFree(address); lastErr == nil {
+			return address, nil
 		}
-		lastErr = err
 	}
 	return "", errors.Annotate(lastErr, "no free address")
 }
+
+func checkFree(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = listener.Close() }()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(packets.Close())
+}
