--- /dev/null
+++ b/pkg/relay/standby.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
+)
+
+const (
+	// firstByteSilenceFactor is the time without a first byte after which a second
+	// attempt of a repeatable request begins, as a multiple of the route's objective.
+	firstByteSilenceFactor = 3
+	// minFirstByteSilence is the lower bound of that time.
+	minFirstByteSilence = 500 * time.Millisecond
+	// streamSilence is the time without an event of a resumable stream after which a
+	// second attempt begins.
+	streamSilence = 1500 * time.Millisecond
+	// rejectedStandbyDelay is the delay before another standby begins after a target
+	// has rejected one.
+	rejectedStandbyDelay = 500 * time.Millisecond
+	// silencesBeforeSpare is the number of such times without an event after which the
+	// spare target is asked, which has been silent itself or was slower before.
+	silencesBeforeSpare = 2
+)
+
+// watchSilence restarts the timer for the next bytes of the active attempt. Only
+// repeatable requests may have a second attempt.
+func (d *dispatcher) watchSilence() {
+	route := &d.q.route
+	switch {
+	case !route.Retryable():
+		return
+	case d.active.hasEvents:
+		d.silence.Reset(streamSilence)
+	default:
+		d.silence.Reset(max(minFirstByteSilence, firstByteSilenceFactor*route.FirstByteObjective))
+	}
+}
+
+// beginStandby starts a second attempt at another target, if one is allowed. The
+// active attempt goes on. hasRetry is set if a retry of the budget has been consumed
+// for it.
+func (d *dispatcher) beginStandby(hasRetry bool) {
+	q := d.q
+	d.active.silences++
+	mayBegin, allowed := d.standbyTargets()
+	if !mayBegin {
+		d.logSilence("", "no_attempts_left")
+		return
+	}
+	if allowed != nil && d.active.silences < silencesBeforeSpare {
+		d.watchSilence()
+		return
+	}
+	d.excluded[d.active.choice.Target.ID] = true
+	choice, refusal := q.chooseTarget(d.excluded, allowed)
+	switch {
+	case refusal != nil:
+		d.logSilence("", refusal.reason)
+		d.watchSilence()
+	case !hasRetry && !q.tryRetry():
+		d.logSilence("", "retry_budget")
+		d.watchSilence()
+	default:
+		d.logSilence(choice.Target.ID, "")
+		d.spareTarget = ""
+		d.standby = q.beginAttempt(d.ctx, choice)
+	}
+}
+
+// standbyTargets reports whether a standby may begin. Once the route's attempts are
+// used, it may begin only at the spare target, which allowed then holds.
+func (d *dispatcher) standbyTargets() (mayBegin bool, allowed map[string]bool) {
+	switch {
+	case d.q.remaining() <= 0:
+		return false, nil
+	case d.countedAttempts+1 < d.q.route.MaxAttempts:
+		return true, nil
+	case d.spareTarget == "":
+		return false, nil
+	default:
+		return true, map[string]bool{d.spareTarget: true}
+	}
+}
+
+// logSilence logs that the active attempt's target is silent, and the target of the
+// second attempt or the reason why there is none.
+func (d *dispatcher) logSilence(standbyTarget, reason string) {
+	q := d.q
+	q.relay.Log.Log(eventlog.ResponseSilent, "request_id", q.meta.ID, "try", d.active.number, "target", d.active.choice.Target.ID,
+		"events", q.eventCount, "took_ms", (q.relay.Now() - d.active.startedAt).Milliseconds(),
+		"standby", standbyTarget, "reason", reason, "left_ms", q.remaining().Milliseconds())
+}
+
+// dropStandby ends the standby, since the active attempt's response goes on.
+func (d *dispatcher) dropStandby() {
+	if d.standby == nil {
+		return
+	}
+	a := d.standby
+	d.standby = nil
+	a.abandon(errSuperseded)
+	d.countAttempt(a, d.conclude(a))
+	d.keepSpare(a)
+}
+
+// promoteStandby makes the standby the active attempt and ends the silent one.
+func (d *dispatcher) promoteStandby() {
+	silent := d.active
+	d.active, d.standby = d.standby, nil
+	silent.abandon(errTargetSilent)
+	d.countAttempt(silent, d.conclude(silent))
+	d.keepSpare(silent)
+}
+
+// keepSpare remembers the target of an ended attempt as one that may be asked again.
+func (d *dispatcher) keepSpare(a *attempt) {
+	if a.sent {
+		d.spareTarget = a.choice.Target.ID
+	}
+}
+
+// handleStandbyEnd handles the end of the standby before its first event.
+func (d *dispatcher) handleStandbyEnd() {
+	a := d.standby
+	d.standby = nil
+	result := d.conclude(a)
+	switch result {
+	case completed:
+		silent := d.active
+		d.active = a
+		silent.abandon(errTargetSilent)
+		d.conclude(silent)
+		d.deliver(a)
+	case callerDisconnected, deadlineExceeded:
+		// The active attempt ends for the same reason.
+	case notRun:
+		d.countAttempt(a, result)
+		d.keepSpare(a)
+		d.active.silences = silencesBeforeSpare
+		d.silence.Reset(rejectedStandbyDelay)
+	default:
+		// The retry of an attempt that reached no target is left for the next one.
+		hasRetry := d.countAttempt(a, result)
+		if hasRetry || d.countedAttempts+1 < d.q.route.MaxAttempts {
+			d.beginStandby(hasRetry)
+			return
+		}
+		d.keepSpare(a)
+		d.watchSilence()
+	}
+}
