--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -31,7 +31,8 @@
 	received
 	// handling: the handler runs.
 	handling
-	// answered: the response has been written.
+	// answered: the handler has returned or aborted. The HTTP server may still write
+	// the end of the response; a connection closed from here on is not counted.
 	answered
 )
 
@@ -79,8 +80,8 @@
 	}
 }
 
-// recordRead records that n bytes were read. It reports whether the header is within
-// its limit.
+// recordRead records that n bytes were read, and the beginning of a header. It reports
+// whether the header is within its limit.
 func (c *conn) recordRead(n int) bool {
 	if n == 0 {
 		return true
@@ -92,7 +93,8 @@
 		c.beginPhase(readingHeader)
 	}
 	c.headerBytes += n
-	// extendDeadline may have removed the deadline.
+	// This restores the deadline that extendDeadline may have removed. It fails only
+	// on a closed connection.
 	_ = c.setDeadline()
 	return c.phase != readingHeader || c.headerBytes <= c.server.headerBytes()
 }
--- a/pkg/callerserver/listener.go
+++ b/pkg/callerserver/listener.go
@@ -23,8 +23,8 @@
 }
 
 // Accept implements net.Listener. During a drain it accepts the connections that
-// wait in the queue, since closing the listener would reset them, and then closes
-// the listener.
+// wait in the queue, since closing the listener would reset them, and then returns
+// net.ErrClosed, on which the HTTP server closes the listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		draining := l.limitAccept()
--- a/pkg/callerserver/panic.go
+++ b/pkg/callerserver/panic.go
@@ -26,7 +26,11 @@
 		panic(cause)
 	}
 	stack := debug.Stack()
-	s.config.Log.Log(eventlog.HandlerPanicked, "request_id", requestID, "answered", !w.wroteHeader,
+	status := http.StatusBadGateway
+	if w.wroteHeader {
+		status = 0
+	}
+	s.config.Log.Log(eventlog.HandlerPanicked, "request_id", requestID, "status", status,
 		"err", fmt.Sprint(cause), "stack", string(stack[:min(len(stack), maxStackBytes)]))
 	if w.wroteHeader {
 		panic(http.ErrAbortHandler)
@@ -36,5 +40,5 @@
 	s.config.SetRequestID(header, requestID)
 	header.Set("Connection", "close")
 	header.Set("Content-Length", "0")
-	w.WriteHeader(http.StatusBadGateway)
+	w.WriteHeader(status)
 }
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	// maxHeaderBytes bounds a request's header if the configured limit is larger.
+	// maxHeaderBytes is the upper limit of a request's header, whatever the
+	// configuration says.
 	maxHeaderBytes = 1 << 20
 	// drainLinger is the time for which a drain keeps a connection open on which
 	// no request has begun to arrive.
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -42,10 +42,7 @@
 }
 
 // serve serves callers, readiness checks and metrics until stopCtx is cancelled,
-// and then drains: it first reports that it is not ready, then stops accepting
-// connections, refuses new requests and finally waits for those in progress.
-// Requests that remain near the end of the grace period get a response without waiting for
-// their targets.
+// and then drains.
 func (e *Entry) serve(stopCtx context.Context) error {
 	callers := callerserver.New(callerserver.Config{
 		Handler: e.relay, ConnContext: relay.ConnContext, Limits: e.callerLimits, Log: e.log,
@@ -100,6 +97,10 @@
 	Serve(listener net.Listener) error
 }
 
+// drain reports that the process is not ready, refuses new requests after the leave
+// notice, closes the callers' listener and waits for the requests in progress. Those
+// that remain near the end of the grace period get a response without waiting for
+// their targets.
 func (e *Entry) drain(callers *callerserver.Server, ready, metrics *http.Server) error {
 	startedAt := time.Now()
 	e.stopping.Store(true)
@@ -117,7 +118,7 @@
 	_ = ready.Close()
 	_ = metrics.Close()
 	if e.cutRequests > 0 {
-		return errors.Errorf("%d requests were cut at the end of the grace period", e.cutRequests)
+		return errors.Errorf("%d requests were cut by the planned stop", e.cutRequests)
 	}
 	return nil
 }
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -20,8 +20,8 @@
 		[]string{"remote", "request_id", "phase", "unread", "phase_ms"}}
 	CallerHeaderRefused = Event{907, "caller_header_refused", "A caller's request was refused because its header did not arrive completely in time, or was too large; the request has not run and never will.",
 		[]string{"remote", "status", "header_ms"}}
-	HandlerPanicked = Event{908, "handler_panicked", "A program fault ended the handling of a caller's request. It was answered with 502 if answered is true; otherwise its answer had begun, and the connection was closed.",
-		[]string{"request_id", "answered", "err", "stack"}}
+	HandlerPanicked = Event{908, "handler_panicked", "A panic ended the handling of a caller's request. status is 502 if that was sent, or 0 if a response had begun and the connection was closed.",
+		[]string{"request_id", "status", "err", "stack"}}
 	HTTPServerError = Event{909, "http_server_error", "An HTTP server of the process reported an error.", []string{"server", "err"}}
 	ConfigInForce   = Event{910, "config_in_force", "A newer configuration is now in force.",
 		[]string{"version", "was"}}
--- a/pkg/eventlog/ring.go
+++ b/pkg/eventlog/ring.go
@@ -20,9 +20,9 @@
 	// maxBatchBytes is the batch size from which no further lines are added.
 	maxBatchBytes = 32 << 10
 	// writeRetryDelay is the delay before the rest of a batch is written again, and
-	// maxWriteRetries the number of attempts.
-	writeRetryDelay = 5 * time.Millisecond
-	maxWriteRetries = 200
+	// maxWriteAttempts the largest number of writes for a batch: one second in all.
+	writeRetryDelay  = 5 * time.Millisecond
+	maxWriteAttempts = 200
 )
 
 // AsyncWriter is an io.Writer that passes lines to its output from a separate
@@ -107,7 +107,7 @@
 // writeOut writes a batch. An output that can't take all of it for the moment gets
 // the rest later. The lines that it doesn't take in time are counted as dropped.
 func (w *AsyncWriter) writeOut(batch []byte) {
-	for range maxWriteRetries {
+	for range maxWriteAttempts {
 		n, err := w.out.Write(batch)
 		batch = batch[n:]
 		if len(batch) == 0 {
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -24,6 +24,8 @@
 	return len(p), nil
 }
 
+// TestReadAll guards against data that is lost, or memory that isn't returned, at the
+// limits of a buffer.
 func TestReadAll(t *testing.T) {
 	Convey("Given a budget", t, func() {
 		budget := New(testBudget)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -47,8 +47,8 @@
 	sent   bool
 	err    error
 	result outcome
-	// panicValue is the value of a panic during the exchange, with its stack.
-	panicValue any
+	// panicErr describes a panic during the exchange, with its stack.
+	panicErr error
 	// endedBy is why this process ended the attempt; nil if the target ended it.
 	endedBy error
 }
@@ -86,7 +86,7 @@
 	defer close(a.events)
 	defer func() {
 		if value := recover(); value != nil {
-			a.panicValue = errors.Errorf("%v\n%s", value, debug.Stack())
+			a.panicErr = errors.Errorf("%v\n%s", value, debug.Stack())
 		}
 	}()
 	a.result = q.roundTrip(a)
--- a/pkg/relay/attemptlimits.go
+++ b/pkg/relay/attemptlimits.go
@@ -38,9 +38,9 @@
 	return u.misdirected < maxMisdirectedAttempts && tryRetry()
 }
 
-// mayResend reports whether the request may be sent to another target. It
+// takeResend reports whether the request may be sent to another target. It
 // consumes one retry of the service's budget if so.
-func (q *request) mayResend(ctx context.Context, result outcome, countedAttempts int) bool {
+func (q *request) takeResend(ctx context.Context, result outcome, countedAttempts int) bool {
 	if result == deadlineExceeded || countedAttempts >= q.route.MaxAttempts || q.remaining() <= 0 {
 		return false
 	}
@@ -50,23 +50,23 @@
 	return q.takeRetry(ctx)
 }
 
-// mayRepeat reports whether the request may be sent again to a target that it has
+// takeRepeat reports whether the request may be sent again to a target that it has
 // been sent to. It consumes one retry of the service's budget if so.
-func (q *request) mayRepeat(ctx context.Context) bool {
+func (q *request) takeRepeat(ctx context.Context) bool {
 	return q.route.Retryable() && q.remaining() > 0 && q.takeRetry(ctx)
 }
 
-// mayAskAgain reports whether the target that rejected the continuation of a
-// stream may be asked again, and waits a moment if so. Asking the same target again
-// does not count as a further attempt.
-func (q *request) mayAskAgain(ctx context.Context, result outcome) bool {
+// waitToAskAgain reports whether the target that rejected the continuation of a
+// stream may receive the request again, and waits a moment if so. This is not limited
+// by the route's attempts. It consumes one retry of the service's budget.
+func (q *request) waitToAskAgain(ctx context.Context, result outcome) bool {
 	return result == notRun && q.wroteHeader && q.hasTimeToWait() && q.takeRetry(ctx) && clock.Sleep(ctx, resumeRetryDelay)
 }
 
-// mayWaitForTarget reports whether a target for the rest of a stream may be chosen
+// waitForTarget reports whether a target for the rest of a stream may be chosen
 // again, and waits a moment if so. The caller of a stream that has begun can't be
 // told to come back.
-func (q *request) mayWaitForTarget(ctx context.Context) bool {
+func (q *request) waitForTarget(ctx context.Context) bool {
 	return q.wroteHeader && q.hasTimeToWait() && clock.Sleep(ctx, resumeRetryDelay)
 }
 
@@ -79,7 +79,7 @@
 // one. A begun stream waits for one while time is left.
 func (q *request) takeRetry(ctx context.Context) bool {
 	for !q.tryRetry() {
-		if !q.mayWaitForTarget(ctx) {
+		if !q.waitForTarget(ctx) {
 			return false
 		}
 	}
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"time"
 
@@ -10,11 +11,11 @@
 )
 
 const (
-	// finalResponseLead is the time by which the final response to a request without a
-	// usable one precedes the end of its caller's wait, so that it still arrives.
+	// finalResponseLead is how long before the end of the caller's wait the final
+	// response is written, so that it still arrives.
 	finalResponseLead = 25 * time.Millisecond
-	// minLeadDivisor bounds that time by a part of the caller's wait.
-	minLeadDivisor = 10
+	// finalResponseLeadDivisor limits that lead to a tenth of the caller's wait.
+	finalResponseLeadDivisor = 10
 )
 
 // dispatcher runs the attempts of one request. Only the goroutine of the request's
@@ -22,8 +23,10 @@
 //
 // At most two attempts run at a time: the active one, whose response goes to the
 // caller, and a standby, which begins when the active one's target is silent. A
-// silent target may be sound, so its attempt ends only when the standby has a
-// response; if the active attempt's response goes on first, the standby ends.
+// silent target may be healthy, so its attempt is cancelled only when the standby has
+// a response. If the active attempt's response continues first, the standby is
+// cancelled. The target of the cancelled attempt is then the spare target: it counts
+// against the route's attempts already, so that it may receive the request again.
 type dispatcher struct {
 	q   *request
 	ctx context.Context
@@ -41,8 +44,8 @@
 	used map[string]bool
 	// allowed, if not nil, holds the IDs of the only targets that may be chosen next.
 	allowed map[string]bool
-	// spareTarget is the target of the latest attempt that this process ended because
-	// another one had a response first, or of a standby that its target rejected.
+	// spareTarget is the target of the latest attempt that was cancelled because the
+	// other one had a response first, or of a standby that failed or was rejected.
 	spareTarget string
 	// silence fires when the active attempt's target has been silent for too long.
 	silence *time.Timer
@@ -105,7 +108,7 @@
 	if wait <= 0 {
 		return q.remaining() + 2*deadlineGrace
 	}
-	return q.startedAt + wait - min(finalResponseLead, wait/minLeadDivisor) - q.relay.Now()
+	return q.startedAt + wait - min(finalResponseLead, wait/finalResponseLeadDivisor) - q.relay.Now()
 }
 
 // answerBeforeCallerLeaves ends a request whose response has not begun. A begun
@@ -145,11 +148,11 @@
 		q.handleDisconnect(&attempt{})
 	}
 	choice, refusal := q.chooseTarget(d.excluded, d.allowed)
-	for refusal != nil && q.mayWaitForTarget(d.ctx) {
+	for refusal != nil && q.waitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
 		clear(d.excluded)
 		if d.allowed != nil {
-			d.allowed = d.used
+			d.allowed = maps.Clone(d.used)
 		}
 		choice, refusal = q.chooseTarget(d.excluded, d.allowed)
 	}
@@ -177,8 +180,8 @@
 // conclude records how an attempt has ended and returns its outcome.
 func (d *dispatcher) conclude(a *attempt) outcome {
 	q := d.q
-	if a.panicValue != nil {
-		panic(a.panicValue)
+	if a.panicErr != nil {
+		panic(a.panicErr)
 	}
 	a.endedBy = q.endReason(a.ctx)
 	result := a.result
@@ -199,8 +202,8 @@
 func (d *dispatcher) countAttempt(a *attempt, result outcome) (allowsNext bool) {
 	switch result {
 	case notSent, addressReused, staleWeights:
-		// A target with another weights version stays a candidate, since the next
-		// attempt can expect the version that it has.
+		// A target with another weights version becomes a candidate again, since the
+		// next attempt can expect the version that it has.
 		d.excluded[a.choice.Target.ID] = result != staleWeights
 		return d.uncounted.allowNext(result, d.q.tryRetry)
 	case superseded:
@@ -241,20 +244,20 @@
 func (d *dispatcher) retryOrFinish(a *attempt, result outcome) {
 	q := d.q
 	allowsNext := d.countAttempt(a, result)
-	reason, unreached := notRunReasons[result]
+	reason, unreached := unreachedReasons[result]
 	switch {
 	case allowsNext:
 		d.begin()
 	case unreached:
 		d.active = nil
 		q.refuse(q.notRunRefusal(reason))
-	case q.mayResend(d.ctx, result, d.countedAttempts):
+	case q.takeResend(d.ctx, result, d.countedAttempts):
 		d.begin()
-	case d.spareTarget != "" && q.mayRepeat(d.ctx):
+	case d.spareTarget != "" && q.takeRepeat(d.ctx):
 		d.allowed = map[string]bool{d.spareTarget: true}
 		d.spareTarget = ""
 		d.begin()
-	case q.mayAskAgain(d.ctx, result):
+	case q.waitToAskAgain(d.ctx, result):
 		d.allowed = map[string]bool{a.choice.Target.ID: true}
 		d.begin()
 	default:
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -12,8 +12,7 @@
 	"github.com/baobabhub/baobabhub/pkg/membudget"
 )
 
-// maxEventBytes bounds a single event of a stream, and the bytes between two events
-// that are no events.
+// maxEventBytes bounds an event of a stream, and a run of bytes that contains no event.
 const maxEventBytes = 1 << 20
 
 // errEventTooLarge indicates an event longer than maxEventBytes, or as many bytes
@@ -45,9 +44,9 @@
 	return &eventReader{body: body, buffer: buffer}
 }
 
-// endsWithEvent reports whether a response can be complete only at the end of an
+// mustEndWithEvent reports whether a response can be complete only at the end of an
 // event: its header tells no length, and the connection may be closed anywhere.
-func endsWithEvent(resp *http.Response) bool {
+func mustEndWithEvent(resp *http.Response) bool {
 	hasFraming := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return !hasFraming && err == nil && mediaType == "text/event-stream"
--- a/pkg/relay/outcome.go
+++ b/pkg/relay/outcome.go
@@ -36,7 +36,11 @@
 	superseded
 )
 
-var outcomeNames = [...]string{"completed", "unreached", "elsewhere", "not_run", "stale_weights", "failed", "answered_error", "caller_left", "out_of_time", "superseded"}
+// outcomeNames holds the names in the log.
+var outcomeNames = [...]string{
+	completed: "completed", notSent: "unreached", addressReused: "elsewhere", notRun: "not_run", staleWeights: "stale_weights",
+	failed: "failed", targetError: "answered_error", callerDisconnected: "caller_left", deadlineExceeded: "out_of_time", superseded: "superseded",
+}
 
 func (o outcome) String() string { return outcomeNames[o] }
 
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -12,8 +12,9 @@
 // for example because a target was full.
 const notRunRetryAfter = 100 * time.Millisecond
 
-// notRunReasons holds the refusal reasons of requests that no target ran.
-var notRunReasons = map[outcome]string{
+// unreachedReasons holds the refusal reasons for the outcomes that don't count against
+// the route's attempts.
+var unreachedReasons = map[outcome]string{
 	notSent: "targets_unreachable", addressReused: "targets_unreachable", staleWeights: "weights_changed",
 }
 
--- a/pkg/relay/standby.go
+++ b/pkg/relay/standby.go
@@ -18,8 +18,9 @@
 	// rejectedStandbyDelay is the delay before another standby begins after a target
 	// has rejected one.
 	rejectedStandbyDelay = 500 * time.Millisecond
-	// silencesBeforeSpare is the number of such times without an event after which the
-	// spare target is asked, which has been silent itself or was slower before.
+	// silencesBeforeSpare is the number of consecutive silence timeouts of the active
+	// attempt after which the spare target is used. The spare target was silent or
+	// slower itself, so it is tried later than a new one.
 	silencesBeforeSpare = 2
 )
 
@@ -92,7 +93,7 @@
 		"standby", standbyTarget, "reason", reason, "left_ms", q.remaining().Milliseconds())
 }
 
-// dropStandby ends the standby, since the active attempt's response goes on.
+// dropStandby cancels the standby, since the active attempt's response continues.
 func (d *dispatcher) dropStandby() {
 	if d.standby == nil {
 		return
@@ -104,7 +105,7 @@
 	d.keepSpare(a)
 }
 
-// promoteStandby makes the standby the active attempt and ends the silent one.
+// promoteStandby makes the standby the active attempt and cancels the silent one.
 func (d *dispatcher) promoteStandby() {
 	silent := d.active
 	d.active, d.standby = d.standby, nil
@@ -113,7 +114,7 @@
 	d.keepSpare(silent)
 }
 
-// keepSpare remembers the target of an ended attempt as one that may be asked again.
+// keepSpare makes the target of an ended attempt the spare target.
 func (d *dispatcher) keepSpare(a *attempt) {
 	if a.sent {
 		d.spareTarget = a.choice.Target.ID
@@ -137,6 +138,7 @@
 	case notRun:
 		d.countAttempt(a, result)
 		d.keepSpare(a)
+		// Its target is the spare one now, and may be used at the next timeout.
 		d.active.silences = silencesBeforeSpare
 		d.silence.Reset(rejectedStandbyDelay)
 	default:
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -20,7 +20,7 @@
 // event is never forwarded, so that the stream can be resumed at another target.
 func (q *request) readStream(a *attempt) outcome {
 	reader := newEventReader(a.exchange.Response.Body, a.buffer)
-	reader.endsWithEvent = endsWithEvent(a.exchange.Response)
+	reader.endsWithEvent = mustEndWithEvent(a.exchange.Response)
 	for {
 		events, err := reader.next()
 		if len(events) > 0 && !a.deliverEvents(bytes.Clone(events)) {
--- a/test/soak/explanations_test.go
+++ b/test/soak/explanations_test.go
@@ -18,8 +18,8 @@
 	// stopEnd is the part of the grace period after which a stopping process may end
 	// the requests that are still in progress.
 	stopEnd = stopGrace * 5 / 6
-	// stopAcceptance is the time from the stop signal in which these requests were
-	// sent.
+	// stopAcceptance is the time after the stop signal in which a request may have been
+	// sent that the end of the stop cuts.
 	stopAcceptance = 3 * time.Second
 )
 
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -97,7 +97,7 @@
 	injectLinkFault(d.processes[f.process].storeLink, f)
 }
 
-// injectLinkFault injects a fault into a link. Cut and Silence affect the open
+// injectLinkFault injects a fault into a link. CloseConnections and DropTraffic affect the open
 // connections permanently; the other variants end after the fault's duration.
 func injectLinkFault(link *linkfake.Link, f fault) {
 	directions := []linkfake.Direction{linkfake.ToServer, linkfake.ToClient, linkfake.Both}
