A drain fits into a grace period below three seconds

The final responses had half a second after the drain's end, which for a grace period below 3 s lies after the kill signal.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -111,7 +111,7 @@
 	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin(e.settings.StopGrace))
 	expireTimer := time.AfterFunc(time.Until(drainDeadline), e.expireDrain)
 	defer expireTimer.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalResponseTimeout))
+	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalTimeout(e.settings.StopGrace)))
 	defer cancel()
 	e.cutRequests = callers.Drain(ctx, drainDeadline)
 	// Readiness checks and metrics need no graceful shutdown.
@@ -129,6 +129,12 @@
 	return min(maxDrainMargin, grace/drainMarginDivisor)
 }
 
+// finalTimeout returns the part of a grace period for the final responses. It ends
+// before the grace period.
+func finalTimeout(grace time.Duration) time.Duration {
+	return min(finalResponseTimeout, drainMargin(grace)/2)
+}
+
 func (e *Entry) readyHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
