The last response before the caller leaves keeps what the target has guaranteed

Where a target's refusal, error or the caller's disconnect came in the very moment at which the process gave a request its last response, the outcome became "deadline": a 504 for a request that surely had not run, without a refund. Found by reading the change. The check of the random targets allows any response that is not a success at that moment: in a trace the active attempt was rejected and its standby dropped then.

--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -120,11 +120,16 @@
 	d.dropStandby()
 	a := d.active
 	a.abandon(errDeadlineExceeded)
-	if d.conclude(a) == completed && d.q.route.Kind != fleet.Stream {
+	switch result := d.conclude(a); {
+	case result == callerDisconnected:
+		d.q.handleDisconnect(a)
+	case result == completed && d.q.route.Kind != fleet.Stream:
 		d.deliver(a)
-		return
+	case result == notRun, result == targetError:
+		d.finish(a, result)
+	default:
+		d.finish(a, deadlineExceeded)
 	}
-	d.finish(a, deadlineExceeded)
 }
 
 // close ends the attempts that are still running.
