Limits on attempts that reach no target hold for second attempts, and begun streams wait

Beside it, second attempts were not held to the limits on such attempts, and an attempt that was cancelled could take a retry that nobody used: counting an attempt and taking a retry were one call. They are two now. Found by a newcomer's reading.

--- a/pkg/relay/attemptlimits.go
+++ b/pkg/relay/attemptlimits.go
@@ -25,16 +25,23 @@
 	unsent, misdirected int
 }
 
-// allowNext counts an attempt that did not reach the chosen target, or reached it
-// with other weights, and reports whether another one is allowed. tryRetry
-// consumes one retry of the service's budget; an attempt that sent nothing needs
-// none.
-func (u *uncountedAttempts) allowNext(result outcome, tryRetry func() bool) bool {
+// record counts an attempt that did not reach the chosen target, or reached it with
+// other weights.
+func (u *uncountedAttempts) record(result outcome) {
 	if result == notSent {
 		u.unsent++
-		return u.unsent < maxUnsentAttempts
+		return
 	}
 	u.misdirected++
+}
+
+// allowNext reports whether another attempt is allowed after one with the given
+// outcome. tryRetry consumes one retry of the service's budget; an attempt that sent
+// nothing needs none.
+func (u *uncountedAttempts) allowNext(result outcome, tryRetry func() bool) bool {
+	if result == notSent {
+		return u.unsent < maxUnsentAttempts
+	}
 	return u.misdirected < maxMisdirectedAttempts && tryRetry()
 }
 
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -201,25 +201,26 @@
 	return result
 }
 
-// countAttempt records an ended attempt and reports whether its outcome alone
-// allows another one: an attempt that did not reach its target doesn't count
-// against the route's attempts.
-func (d *dispatcher) countAttempt(a *attempt, result outcome) (allowsNext bool) {
-	switch result {
-	case notSent, addressReused, staleWeights:
-		// A target with another weights version becomes a candidate again, since the
-		// next attempt can expect the version that it has.
-		d.excluded[a.choice.Target.ID] = result != staleWeights
-		return d.uncounted.allowNext(result, d.q.tryRetry)
-	case superseded:
-		if !a.sent {
-			return false
-		}
+// countAttempt records an ended attempt. One that did not reach its target doesn't
+// count against the route's attempts.
+func (d *dispatcher) countAttempt(a *attempt, result outcome) {
+	target := a.choice.Target.ID
+	switch {
+	case result == staleWeights:
+		// The target becomes a candidate again, since the next attempt can expect the
+		// version that it has.
+		delete(d.excluded, target)
+		d.uncounted.record(result)
+	case result == notSent, result == addressReused:
+		d.excluded[target] = true
+		d.uncounted.record(result)
+	case result == superseded && !a.sent:
+		// The connection to the target had not been established.
+	default:
+		d.countedAttempts++
+		d.used[target] = true
+		d.excluded[target] = true
 	}
-	d.countedAttempts++
-	d.used[a.choice.Target.ID] = true
-	d.excluded[a.choice.Target.ID] = true
-	return false
 }
 
 // handleEnd handles the end of the active attempt.
@@ -248,10 +249,15 @@
 // retryOrFinish starts another attempt after a failed one, or ends the request.
 func (d *dispatcher) retryOrFinish(a *attempt, result outcome) {
 	q := d.q
-	allowsNext := d.countAttempt(a, result)
+	d.countAttempt(a, result)
 	reason, unreached := unreachedReasons[result]
 	switch {
-	case allowsNext:
+	case unreached && d.uncounted.allowNext(result, q.tryRetry):
+		d.begin()
+	case unreached && q.waitForTarget(d.ctx) && (result == notSent || q.takeRetry(d.ctx)):
+		// The caller of a begun stream can't be told to come back.
+		d.uncounted = uncountedAttempts{}
+		clear(d.excluded)
 		d.begin()
 	case unreached:
 		d.active = nil
--- a/pkg/relay/dispatch_test.go
+++ b/pkg/relay/dispatch_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -79,6 +80,24 @@
 	})
 }
 
+// TestBegunStreamDuringRestart guards against a begun stream that is closed in the
+// middle because its only target refuses connections for some seconds.
+func TestBegunStreamDuringRestart(t *testing.T) {
+	Convey("A begun stream is continued when its target accepts connections again", t, func() {
+		first := []scriptStep{{0, writeNext}, {0, breakOff}}
+		var result testResult
+		synctest.Test(t, func(*testing.T) {
+			world := newTestWorld(resumableRoute(2), 3, 1, first, stream(0, 0))
+			world.refuseConnsUntil = 3 * time.Second
+			result = world.send(10 * time.Second)
+			world.close()
+			synctest.Wait()
+		})
+		So(result.broken, ShouldBeFalse)
+		So(result.body, ShouldEqual, completeTestStream(3))
+	})
+}
+
 // TestFinalResponseBeforeCallerLeaves guards against a request that runs out of its
 // caller's time and is answered when the caller has left.
 func TestFinalResponseBeforeCallerLeaves(t *testing.T) {
--- a/pkg/relay/standby.go
+++ b/pkg/relay/standby.go
@@ -142,12 +142,22 @@
 		d.active.silences = silencesBeforeSpare
 		d.silence.Reset(rejectedStandbyDelay)
 	default:
+		d.countAttempt(a, result)
+		d.replaceStandby(a, result)
+	}
+}
+
+// replaceStandby begins another standby after a failed one, or waits for the next
+// silence timeout.
+func (d *dispatcher) replaceStandby(a *attempt, result outcome) {
+	_, unreached := unreachedReasons[result]
+	switch {
+	case unreached && d.uncounted.allowNext(result, d.q.tryRetry):
 		// The retry of an attempt that reached no target is left for the next one.
-		hasRetry := d.countAttempt(a, result)
-		if hasRetry || d.countedAttempts+1 < d.q.route.MaxAttempts {
-			d.beginStandby(hasRetry)
-			return
-		}
+		d.beginStandby(true)
+	case !unreached && d.countedAttempts+1 < d.q.route.MaxAttempts:
+		d.beginStandby(false)
+	default:
 		d.keepSpare(a)
 		d.watchSilence()
 	}
--- a/pkg/relay/virtualtime_test.go
+++ b/pkg/relay/virtualtime_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,6 +88,10 @@
 	relay   *Relay
 	log     strings.Builder
 
+	// refuseConnsUntil is the time until which the targets refuse all connections but
+	// the first.
+	refuseConnsUntil time.Duration
+
 	mu    sync.Mutex
 	conns []net.Conn
 	// received holds the addresses of the targets in the order of their requests.
@@ -120,10 +125,13 @@
 func (w *testWorld) now() time.Duration { return time.Since(w.startAt) }
 
 func (w *testWorld) dial(_ context.Context, address string) (net.Conn, error) {
-	local, remote := net.Pipe()
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.conns) > 0 && w.now() < w.refuseConnsUntil {
+		return nil, syscall.ECONNREFUSED
+	}
+	local, remote := net.Pipe()
 	w.conns = append(w.conns, local, remote)
-	w.mu.Unlock()
 	go w.serve(remote, address)
 	return local, nil
 }
