Log the shared parts of each prompt, and the age of a failed stream's first event

The logs name one hash for all shared parts of a prompt together, and don't say whether a stream that broke off had begun.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,8 +33,10 @@
 	// events carries the complete events of a stream. It is closed when the attempt
 	// has ended.
 	events chan []byte
-	// hasEvents is set by the handler once it has received events.
-	hasEvents bool
+	// hasEvents is set by the handler once it has received events, the first of them at
+	// firstEventAt.
+	hasEvents    bool
+	firstEventAt time.Duration
 	// silences counts the times without events since the latest one that were long
 	// enough for a second attempt.
 	silences int
@@ -77,7 +80,8 @@
 		"try", a.number, "target", choice.Target.ID, "weights", choice.Version, "expected_ms", choice.ExpectedTTFB.Milliseconds(),
 		"cached_tokens", choice.CachedTokens, "import", choice.Import.String(), "import_from", choice.ImportAddress, "save", choice.SaveToStore, "prompt_tokens", q.meta.PromptTokens,
 		"prefix", strconv.FormatUint(choice.Prefix, 16), "primary", choice.Primary, "recomputed_tokens", choice.RecomputedTokens, "candidates", choice.Candidates,
-		"load_age_ms", choice.LoadAge.Milliseconds(), "config", q.config.Version, "left_ms", q.remaining().Milliseconds())
+		"load_age_ms", choice.LoadAge.Milliseconds(), "config", q.config.Version, "left_ms", q.remaining().Milliseconds(),
+		"parts", strings.Join(q.sharedPartIDs(), ","))
 }
 
 // runAttempt exchanges the request and the response with the target. The fields of
@@ -128,5 +132,17 @@
 		endedBy = a.endedBy.Error()
 	}
 	q.relay.Log.Log(eventlog.AttemptFailed, "request_id", q.meta.ID, "try", a.number, "target", a.choice.Target.ID,
-		"outcome", result.String(), "status", status, "sent", a.sent, "took_ms", (q.relay.Now() - a.startedAt).Milliseconds(), "ended_by", endedBy, "err", message)
+		"outcome", result.String(), "status", status, "sent", a.sent, "took_ms", (q.relay.Now() - a.startedAt).Milliseconds(),
+		"first_event_age_ms", a.firstEventAge(q.relay.Now()).Milliseconds(), "ended_by", endedBy, "err", message)
+}
+
+// noEventAge is the age of the first event of an attempt without events.
+const noEventAge = -time.Millisecond
+
+// firstEventAge returns the time since the target's first event, or noEventAge.
+func (a *attempt) firstEventAge(now time.Duration) time.Duration {
+	if !a.hasEvents {
+		return noEventAge
+	}
+	return now - a.firstEventAt
 }
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -174,7 +174,9 @@
 func (d *dispatcher) relayEvents(events []byte) {
 	d.dropStandby()
 	a := d.active
-	a.hasEvents = true
+	if !a.hasEvents {
+		a.hasEvents, a.firstEventAt = true, d.q.relay.Now()
+	}
 	a.silences = 0
 	if !d.q.writeEvents(a, d.controller, events) {
 		d.disconnect(a)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -265,6 +265,17 @@
 	}
 }
 
+// sharedPartIDs returns the identifiers of the prompt's parts that other requests may
+// share.
+func (q *request) sharedPartIDs() []string {
+	parts := q.meta.SharedParts()
+	ids := make([]string, len(parts))
+	for i := range parts {
+		ids[i] = parts[i].ID
+	}
+	return ids
+}
+
 func (q *request) accountName() string {
 	if q.account == nil {
 		return ""
