Keep parts of prompts that crash targets from all targets

Cause: a crash was recorded as a failure of the target, never of what ran on it, so that nothing kept the next such request from the next target; and nothing that processes tell each other spoke of crashes. Class: a failure that a request causes is taken for one of the target that it hits, and each process would have to learn it alone.

Why this works: each process reports a crash (broken response, connection refused, target not leaving) for the parts of requests that had not begun or had just begun; completed responses clear parts; three crashes quarantine one. The facts are merged by messages and by one key in the store, so that processes that restart, join or were cut off have them.

Ruled out: ending second attempts alone (routes with one attempt break the bound too); a count in each process (two, two and one of the first five crashes at three processes).

--- /dev/null
+++ b/pkg/entry/crashes.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+const (
+	// maxBrokenResponses is the capacity of the ring of responses that broke off and
+	// whose targets have not been examined.
+	maxBrokenResponses = 256
+	// probeDelay is the time between a response that broke off and the connection that
+	// shows whether the target still listens; a process that ends closes its sockets
+	// one after the other.
+	probeDelay = 20 * time.Millisecond
+	// probeTimeout bounds that connection.
+	probeTimeout = 500 * time.Millisecond
+	// probeResultTTL is the time for which the result applies to further responses of
+	// the same run of the target.
+	probeResultTTL = 2 * time.Second
+)
+
+// brokenResponse is a response that a target broke off before or soon after its first
+// event.
+type brokenResponse struct {
+	requestID string
+	target    fleet.Target
+	parts     []string
+}
+
+// probeResult is what a connection to a target has shown.
+type probeResult struct {
+	target fleet.Target
+	// crashed reports whether the target has crashed; if not, reason says what was
+	// found instead.
+	crashed bool
+	reason  string
+	at      time.Time
+}
+
+// crashDetector finds out whether the targets whose responses broke off have crashed.
+// A target that leaves, or that can't be reached because of the network, has not.
+type crashDetector struct {
+	entry  *Entry
+	broken chan brokenResponse
+	probes chan probeResult
+	// waiting holds the responses whose targets are being examined, and results the
+	// latest results. Only run uses them.
+	waiting map[fleet.Boot][]brokenResponse
+	results map[fleet.Boot]probeResult
+}
+
+func newCrashDetector(entry *Entry) *crashDetector {
+	return &crashDetector{
+		entry: entry, broken: make(chan brokenResponse, maxBrokenResponses), probes: make(chan probeResult),
+		waiting: map[fleet.Boot][]brokenResponse{}, results: map[fleet.Boot]probeResult{},
+	}
+}
+
+// report hands over a response that broke off. It does not block.
+func (d *crashDetector) report(response brokenResponse) {
+	select {
+	case d.broken <- response:
+	default:
+		d.logUnexplained(&response, "too many broken responses")
+	}
+}
+
+func (d *crashDetector) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case response := <-d.broken:
+			d.examine(ctx, response)
+		case result := <-d.probes:
+			d.conclude(result)
+		}
+	}
+}
+
+// examine applies a recent result for the response's target, or requests one.
+func (d *crashDetector) examine(ctx context.Context, response brokenResponse) {
+	run := response.target.Boot()
+	if result, ok := d.results[run]; ok && time.Since(result.at) < probeResultTTL {
+		d.apply(&response, &result)
+		return
+	}
+	waiting, examined := d.waiting[run]
+	d.waiting[run] = append(waiting, response)
+	if !examined {
+		go d.probe(ctx, response.target)
+	}
+}
+
+// conclude applies a result to the responses that wait for it.
+func (d *crashDetector) conclude(result probeResult) {
+	run := result.target.Boot()
+	for i := range d.waiting[run] {
+		d.apply(&d.waiting[run][i], &result)
+	}
+	delete(d.waiting, run)
+	d.results[run] = result
+	for other, old := range d.results {
+		if time.Since(old.at) >= probeResultTTL {
+			delete(d.results, other)
+		}
+	}
+}
+
+func (d *crashDetector) apply(response *brokenResponse, result *probeResult) {
+	if !result.crashed {
+		d.logUnexplained(response, result.reason)
+		return
+	}
+	d.entry.quarantine.recordCrash(response)
+}
+
+func (d *crashDetector) logUnexplained(response *brokenResponse, reason string) {
+	d.entry.log.Log(eventlog.ResponseUnexplained, "request_id", response.requestID, "target", response.target.ID,
+		"born", response.target.StartUnixMS, "reason", reason)
+}
+
+// probe examines a target and sends the result to run.
+func (d *crashDetector) probe(ctx context.Context, target fleet.Target) {
+	result := probeResult{target: target}
+	result.crashed, result.reason = d.hasCrashed(ctx, &target)
+	result.at = time.Now()
+	select {
+	case d.probes <- result:
+	case <-ctx.Done():
+	}
+}
+
+// hasCrashed reports whether a target has crashed, or why that is not known.
+func (d *crashDetector) hasCrashed(ctx context.Context, target *fleet.Target) (crashed bool, reason string) {
+	timer := time.NewTimer(probeDelay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false, "stopping"
+	case <-timer.C:
+	}
+	listed, ok := d.entry.directory.Get(target.ID)
+	if !ok || listed.Draining {
+		return false, "the target was leaving"
+	}
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", target.Address)
+	if err == nil {
+		// Only the fact that the target accepts connections matters.
+		_ = conn.Close()
+		return false, "the target accepts connections"
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true, ""
+	}
+	return false, err.Error()
+}
+
+// partList returns identifiers of parts for the log.
+func partList(parts []string) string { return strings.Join(parts, ",") }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -80,11 +80,12 @@
 	// TargetsPrefix is the prefix of the target entries.
 	TargetsPrefix string
 	// SystemPrefix is the prefix of the keys that the entry processes write.
-	// RoutersPrefix, the prefix of their records, and LeaderKey, the leader's
-	// key, are below it.
+	// RoutersPrefix, the prefix of their records, LeaderKey, the leader's key, and
+	// QuarantineKey, which holds what is known of crashes, are below it.
 	SystemPrefix  string
 	RoutersPrefix string
 	LeaderKey     string
+	QuarantineKey string
 }
 
 const (
@@ -123,6 +124,7 @@
 	leaving      *leavingTargets
 	unreachable  *unreachableReports
 	drainReports *drainReporter
+	quarantine   *quarantineKeeper
 	// hubSequence counts the states of the own group that this process has sent.
 	// Only the goroutine that sends them uses it.
 	hubSequence     uint64
@@ -167,6 +169,7 @@
 	e.leaving = newLeavingTargets(e)
 	e.unreachable = newUnreachableReports()
 	e.drainReports = newDrainReporter(e)
+	e.quarantine = newQuarantineKeeper(e)
 	var err error
 	e.gossip, err = gossip.New(gossip.Config{
 		Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)),
@@ -189,6 +192,7 @@
 		CurrentConfig: e.config.Load,
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
 		OnLeaving:     e.leaving.observe,
+		Quarantine:    e.quarantine,
 		Stopping:      e.stopping.Load,
 		Refusing:      e.refusing.Load,
 		DrainExpired:  e.drainExpired,
@@ -262,6 +266,8 @@
 		e.lease.run,
 		e.gossip.Run,
 		e.drainReports.run,
+		e.quarantine.detector.run,
+		e.quarantine.run,
 		e.rollouts.run,
 		e.runHousekeeping,
 	}
@@ -275,6 +281,7 @@
 		e.balancer.Prune(e.directory.Targets(e.uptime()))
 		e.directory.Prune(e.uptime())
 		e.members.markSilentPeers()
+		e.quarantine.expire()
 		if dropped := e.ring.Dropped(); dropped > 0 {
 			e.log.Log(eventlog.LinesDropped, "lines", dropped)
 		}
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -162,6 +162,7 @@
 // that follows registers those that it contains.
 func (m *memberList) prepareFullUpdate() {
 	m.clearLeader()
+	m.entry.quarantine.applyStored(nil, 0)
 	for vm := range m.byVM {
 		m.unregister(vm)
 	}
@@ -205,6 +206,10 @@
 		m.leader, m.leaderRevision = record, entry.Revision
 		return
 	}
+	if entry.Key == m.entry.platform.Keys.QuarantineKey {
+		m.entry.quarantine.applyStored(entry.Value, entry.Revision)
+		return
+	}
 	vm, ok := strings.CutPrefix(entry.Key, m.entry.platform.Keys.RoutersPrefix)
 	if !ok || vm == m.entry.settings.VM {
 		return
@@ -231,6 +236,10 @@
 		m.clearLeader()
 		return
 	}
+	if key == m.entry.platform.Keys.QuarantineKey {
+		m.entry.quarantine.applyStored(nil, 0)
+		return
+	}
 	m.unregister(strings.TrimPrefix(key, m.entry.platform.Keys.RoutersPrefix))
 }
 
--- /dev/null
+++ b/pkg/entry/quarantine.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/clock"
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/kv"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
+)
+
+const (
+	// leaderWriteDelay is the time after which the leader writes facts that the store
+	// lacks; it batches facts that arise together.
+	leaderWriteDelay = 50 * time.Millisecond
+	// isolatedWriteDelay is that time for a process that hears no peer, and
+	// followerWriteDelay for the others, which leave the write to the leader. Both are
+	// extended at random by up to their own length.
+	isolatedWriteDelay = 300 * time.Millisecond
+	followerWriteDelay = time.Second
+	// writeRetryDelay is the delay after a failed write.
+	writeRetryDelay = time.Second
+	// sourceSelf and sourceStore denote in the log what this process has observed
+	// itself, and what it has read from the store.
+	sourceSelf  = "self"
+	sourceStore = "store"
+)
+
+// quarantineRecord is the value of the store's key that holds what the fleet knows of
+// crashes.
+type quarantineRecord struct {
+	Parts []quarantine.Record `json:"parts"`
+}
+
+// quarantineKeeper shares what this process and its peers know of parts of prompts that
+// crash targets. It implements relay.Quarantine.
+type quarantineKeeper struct {
+	entry    *Entry
+	table    *quarantine.Table
+	detector *crashDetector
+	// changed requests a comparison with the store.
+	changed chan struct{}
+
+	mu sync.Mutex
+	// stored holds the records in the store, and storedRevision the key's revision.
+	stored         []quarantine.Record
+	storedRevision uint64
+}
+
+func newQuarantineKeeper(entry *Entry) *quarantineKeeper {
+	return &quarantineKeeper{entry: entry, table: quarantine.New(), detector: newCrashDetector(entry), changed: make(chan struct{}, 1)}
+}
+
+// Check implements relay.Quarantine.
+func (k *quarantineKeeper) Check(parts []string) string { return k.table.Check(parts) }
+
+// Completed implements relay.Quarantine.
+func (k *quarantineKeeper) Completed(parts []string) {
+	cleared := k.table.RecordCompleted(time.Now(), parts)
+	if len(cleared) == 0 {
+		return
+	}
+	k.entry.log.Log(eventlog.PartsCleared, "parts", partList(cleared))
+	k.applyChange(sourceSelf)
+}
+
+// BrokenOff implements relay.Quarantine.
+func (k *quarantineKeeper) BrokenOff(requestID string, target fleet.Target, parts []string) {
+	k.detector.report(brokenResponse{requestID: requestID, target: target, parts: parts})
+}
+
+// recordCrash records that a target crashed under a request, and tells all processes.
+func (k *quarantineKeeper) recordCrash(response *brokenResponse) {
+	target := &response.target
+	suspected := k.table.RecordCrash(time.Now(), target.Boot(), response.parts)
+	k.entry.log.Log(eventlog.TargetCrashed, "request_id", response.requestID, "target", target.ID, "born", target.StartUnixMS, "parts", partList(suspected))
+	if len(suspected) == 0 {
+		return
+	}
+	k.entry.gossip.SendUrgent()
+	k.applyChange(sourceSelf)
+}
+
+// merge adds what a peer knows.
+func (k *quarantineKeeper) merge(records []quarantine.Record, source string) {
+	if k.table.Merge(time.Now(), records) {
+		k.applyChange(source)
+	}
+}
+
+// expire drops what no longer counts.
+func (k *quarantineKeeper) expire() {
+	k.table.Expire(time.Now())
+	k.logTransitions(sourceSelf)
+}
+
+// applyChange logs what a change has led to and requests a comparison with the store.
+func (k *quarantineKeeper) applyChange(source string) {
+	k.logTransitions(source)
+	k.requestWrite()
+}
+
+func (k *quarantineKeeper) logTransitions(source string) {
+	for _, transition := range k.table.TakeTransitions() {
+		if !transition.Quarantined {
+			k.entry.log.Log(eventlog.PartReleased, "part", transition.Part, "source", source)
+			continue
+		}
+		k.entry.log.Log(eventlog.PartQuarantined, "part", transition.Part, "crashes", transition.Crashes,
+			"companions", partList(transition.Companions), "source", source)
+	}
+}
+
+func (k *quarantineKeeper) requestWrite() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// applyStored applies the value of the store's key. The value is nil and the revision 0
+// if the key does not exist.
+func (k *quarantineKeeper) applyStored(value []byte, revision uint64) {
+	var record quarantineRecord
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &record); err != nil {
+			// The next write replaces the value.
+			k.entry.log.Log(eventlog.DutyFailed, "duty", "quarantine", "err", errors.Annotate(err, "decoding the stored crashes"))
+			record = quarantineRecord{}
+		}
+	}
+	k.setStored(record.Parts, revision)
+	k.merge(record.Parts, sourceStore)
+	k.requestWrite()
+}
+
+func (k *quarantineKeeper) setStored(records []quarantine.Record, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stored, k.storedRevision = records, revision
+}
+
+func (k *quarantineKeeper) storedRecords() ([]quarantine.Record, uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stored, k.storedRevision
+}
+
+// run writes to the store what it lacks, until ctx is cancelled.
+func (k *quarantineKeeper) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.changed:
+		}
+		for k.isStoreBehind() && clock.Sleep(ctx, k.writeDelay()) {
+			k.write(ctx)
+		}
+	}
+}
+
+func (k *quarantineKeeper) isStoreBehind() bool {
+	stored, _ := k.storedRecords()
+	return k.table.Missing(stored)
+}
+
+// writeDelay returns the time after which this process writes, unless another one has
+// done so.
+func (k *quarantineKeeper) writeDelay() time.Duration {
+	if _, leads := k.entry.lease.leaderFencingToken(); leads {
+		return leaderWriteDelay
+	}
+	if k.entry.members.heardCount() == 0 {
+		return isolatedWriteDelay + rand.N(isolatedWriteDelay)
+	}
+	return k.entry.members.memberWatchInterval() + followerWriteDelay + rand.N(followerWriteDelay)
+}
+
+// write writes the known facts, unless the store has them by now.
+func (k *quarantineKeeper) write(ctx context.Context) {
+	if !k.isStoreBehind() {
+		return
+	}
+	_, revision := k.storedRecords()
+	snapshot := k.table.Snapshot()
+	value, err := json.Marshal(quarantineRecord{Parts: snapshot})
+	if err != nil {
+		panic(errors.Annotate(err, "encoding crashes"))
+	}
+	key := k.entry.platform.Keys.QuarantineKey
+	revision, err = k.entry.platform.Store.CompareAndSwap(ctx, kv.Put{Key: key, Value: value, ExpectRevision: revision})
+	if errors.Is(err, kv.ErrConflict) {
+		err = k.read(ctx)
+	} else if err == nil {
+		k.setStored(snapshot, revision)
+	}
+	if err != nil && ctx.Err() == nil {
+		k.entry.log.Log(eventlog.DutyFailed, "duty", "quarantine", "err", errors.Annotate(err, "writing the known crashes"))
+		clock.Sleep(ctx, writeRetryDelay)
+	}
+}
+
+// read merges the value that another process has written.
+func (k *quarantineKeeper) read(ctx context.Context) error {
+	entry, err := k.entry.platform.Store.Get(ctx, k.entry.platform.Keys.QuarantineKey)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
+		return errors.Trace(err)
+	}
+	k.applyStored(entry.Value, entry.Revision)
+	return nil
+}
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -8,8 +8,8 @@
 		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "first_event_age_ms", "ended_by", "err"}}
 	AnswerDelivered = Event{902, "answer_delivered", "A target's complete answer was delivered to the caller.",
 		[]string{"request_id", "route", "account", "target", "status", "tries", "first_byte_ms", "total_ms"}}
-	CallerRefused = Event{903, "caller_refused", "A caller received a refusal or an error that the entry process produced; ran is false if the request has not run and never will.",
-		[]string{"request_id", "route", "account", "status", "reason", "ran", "retry_after_ms", "tries", "total_ms", "config", "cost", "level"}}
+	CallerRefused = Event{903, "caller_refused", "A caller received a refusal or an error that the entry process produced; ran is false if the request has not run and never will. part is the quarantined part of the prompt, if any.",
+		[]string{"request_id", "route", "account", "status", "reason", "ran", "retry_after_ms", "tries", "total_ms", "config", "cost", "level", "part"}}
 	CallerBroken = Event{904, "caller_broken", "The connection to a caller was closed because the answer could not be completed.",
 		[]string{"request_id", "route", "target", "events", "total_ms", "err"}}
 	CallerLeft = Event{905, "caller_left", "A caller closed its connection before the answer was complete; the request was cancelled at the target.",
@@ -58,6 +58,15 @@
 	GroupSilent        = Event{938, "group_silent", "No state of another group of processes arrives any more; its share of the rate limits stays reserved for it.", []string{"group", "hub", "silent_ms"}}
 	ResponseSilent     = Event{939, "response_silent", "A target has sent nothing of a repeatable request's response for some time. Its attempt goes on; standby is the target of a second attempt beside it, and reason is why there is none.",
 		[]string{"request_id", "try", "target", "events", "took_ms", "standby", "reason", "left_ms"}}
+	TargetCrashed = Event{940, "target_crashed", "A target broke off the response to a request, and refuses connections: it has crashed. parts lists the parts of the prompt that are suspected; those of recently completed responses are not.",
+		[]string{"request_id", "target", "born", "parts"}}
+	ResponseUnexplained = Event{941, "response_unexplained", "A target broke off the response to a request before or soon after its first event, and is not known to have crashed; reason says what was found.",
+		[]string{"request_id", "target", "born", "reason"}}
+	PartQuarantined = Event{942, "part_quarantined", "Requests with a part of a prompt are refused, since targets crash under it; only those that contain all companions too, which can't be told apart from it yet. source is self, a peer, or the store.",
+		[]string{"part", "crashes", "companions", "source"}}
+	PartReleased = Event{943, "part_released", "A part of a prompt is no longer quarantined: a target has completed a response to a request with it, or its crashes are too old.",
+		[]string{"part", "source"}}
+	PartsCleared     = Event{944, "parts_cleared", "A completed response cleared parts of a prompt that were suspected of crashing targets.", []string{"parts"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -67,5 +76,5 @@
 	PeerHeard, PeerSilent, MembersChanged, LeaseLost, LeaderGained, LeaderLost, WeightsNamed, OrderSent,
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
-	ResponseSilent,
+	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
 }
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -10,6 +10,7 @@
 	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip/gossippb"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
 
@@ -48,6 +49,8 @@
 	// Unreachable holds the runs of targets to which the process has recently
 	// failed to connect, or whose address another target uses now.
 	Unreachable []fleet.Boot
+	// SuspectedParts holds the parts of prompts under which targets have crashed.
+	SuspectedParts []quarantine.Record
 	// FencingToken is the fencing token of the leader, which sends load orders to
 	// engines, and LeaderRemaining the time for which its lease is certain to be
 	// valid. Both are 0 if the sender does not pass on the leader's state. Engines
@@ -100,6 +103,7 @@
 	}
 	state.Leaving = encodeBoots(m.Leaving)
 	state.Unreachable = encodeBoots(m.Unreachable)
+	state.SuspectedParts = encodeSuspectedParts(m.SuspectedParts)
 	for account, usage := range m.Usage {
 		state.Usage = append(state.Usage, &gossippb.Usage{
 			Account: account, Admitted: int64(math.Round(usage.Admitted)), Level: int64(math.Round(usage.Level)),
@@ -142,6 +146,32 @@
 	return boots
 }
 
+func encodeSuspectedParts(records []quarantine.Record) []*gossippb.SuspectedPart {
+	var parts []*gossippb.SuspectedPart
+	for i := range records {
+		part := &gossippb.SuspectedPart{Part: records[i].Part}
+		for _, crash := range records[i].Crashes {
+			target := &gossippb.TargetRun{Id: crash.Target.ID, BornUnixMs: crash.Target.StartUnixMS}
+			part.Crashes = append(part.Crashes, &gossippb.Crash{Target: target, CrashedUnixMs: crash.UnixMS, Cleared: crash.Cleared})
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+func decodeSuspectedParts(parts []*gossippb.SuspectedPart) []quarantine.Record {
+	var records []quarantine.Record
+	for _, part := range parts {
+		record := quarantine.Record{Part: part.GetPart()}
+		for _, crash := range part.GetCrashes() {
+			target := fleet.Boot{ID: crash.GetTarget().GetId(), StartUnixMS: crash.GetTarget().GetBornUnixMs()}
+			record.Crashes = append(record.Crashes, quarantine.Crash{Target: target, UnixMS: crash.GetCrashedUnixMs(), Cleared: crash.GetCleared()})
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
 func decode(data []byte) (Message, error) {
 	var state gossippb.State
 	if err := proto.Unmarshal(data, &state); err != nil {
@@ -167,6 +197,7 @@
 	}
 	m.Leaving = decodeBoots(state.GetLeaving())
 	m.Unreachable = decodeBoots(state.GetUnreachable())
+	m.SuspectedParts = decodeSuspectedParts(state.GetSuspectedParts())
 	for _, u := range state.GetUsage() {
 		m.Usage[u.GetAccount()] = tokenrate.Usage{Admitted: float64(u.GetAdmitted()), Level: float64(u.GetLevel())}
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -51,7 +51,7 @@
 	// newsTTL is the time for which News returns a changed record.
 	newsTTL = 3 * time.Second
 	// maxNewsCrashes bounds the crashes in the records that News returns.
-	maxNewsCrashes = 200
+	maxNewsCrashes = 100
 )
 
 // Transition is the begin or the end of a quarantine.
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -13,6 +13,9 @@
 // allowed, if not nil, holds the IDs of the only targets that may be chosen.
 func (q *request) chooseTarget(excluded, allowed map[string]bool) (balance.Choice, *refusal) {
 	relay := q.relay
+	if refusal := q.checkQuarantine(); refusal != nil {
+		return balance.Choice{}, refusal
+	}
 	req := q.balanceRequest()
 	req.Excluded, req.Allowed = excluded, allowed
 	choice, rejection := relay.Balancer.Pick(relay.Now(), req, relay.Targets())
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -153,7 +153,7 @@
 		q.handleDisconnect(&attempt{})
 	}
 	choice, refusal := q.chooseTarget(d.excluded, d.allowed)
-	for refusal != nil && q.waitForTarget(d.ctx) {
+	for refusal != nil && !refusal.permanent && q.waitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
 		clear(d.excluded)
 		if d.allowed != nil {
@@ -196,6 +196,7 @@
 		result = q.classifyOutcome(d.ctx, a, result)
 		q.logFailure(a, result)
 	}
+	q.reportCrashEvidence(a, result)
 	a.cancel(nil)
 	a.tracked.End(q.relay.Now(), balanceResult(result))
 	q.lastTarget = a.choice.Target.ID
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -47,9 +47,14 @@
 // mustEndWithEvent reports whether a response can be complete only at the end of an
 // event: its header tells no length, and the connection may be closed anywhere.
 func mustEndWithEvent(resp *http.Response) bool {
-	hasFraming := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return !hasFraming && err == nil && mediaType == "text/event-stream"
+	return !hasFraming(resp) && err == nil && mediaType == "text/event-stream"
+}
+
+// hasFraming reports whether the header of a response tells where its body ends.
+// Otherwise the body ends with the connection.
+func hasFraming(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // next reads once from the body and returns the complete events received so far,
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -24,6 +24,10 @@
 	reason string
 	// mayHaveRun is set if the request has run or may have run.
 	mayHaveRun bool
+	// permanent is set if no later attempt of the request can be allowed.
+	permanent bool
+	// part is the part of the prompt because of which the request was refused.
+	part string
 	// retryAfter is the value of the Retry-After header; 0 omits the header.
 	retryAfter time.Duration
 	// cost and tokensLeft are the tokens that the request needed and those that
@@ -41,14 +45,15 @@
 	if q.mayHaveRun && !ref.mayHaveRun {
 		// An earlier attempt may have run, so the response must not imply that
 		// the request did not run.
-		ref = refusal{status: http.StatusBadGateway, reason: ref.reason, mayHaveRun: true}
+		ref = refusal{status: http.StatusBadGateway, reason: ref.reason, part: ref.part, mayHaveRun: true}
 	}
 	if !ref.mayHaveRun {
 		q.refund()
 	}
 	relay.Log.Log(eventlog.CallerRefused, "request_id", q.meta.ID, "route", q.route.Name, "account", q.accountName(),
 		"status", ref.status, "reason", ref.reason, "ran", ref.mayHaveRun, "retry_after_ms", ref.retryAfter.Milliseconds(),
-		"tries", q.attempts, "total_ms", (relay.Now() - q.startedAt).Milliseconds(), "config", q.configVersion(), "cost", int64(ref.cost), "level", int64(ref.tokensLeft))
+		"tries", q.attempts, "total_ms", (relay.Now() - q.startedAt).Milliseconds(), "config", q.configVersion(), "cost", int64(ref.cost), "level", int64(ref.tokensLeft),
+		"part", ref.part)
 	relay.instruments.countRefusal(ref.reason)
 	header := q.w.Header()
 	relay.Codec.SetRequestID(header, q.meta.ID)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -56,6 +56,8 @@
 	// OnLeaving is called when a response announces that its target is leaving.
 	// It must not block.
 	OnLeaving func(boot fleet.Boot)
+	// Quarantine knows the parts of prompts that crash targets.
+	Quarantine Quarantine
 	// Stopping reports whether the process is stopping, in which case
 	// connections are closed after the response.
 	Stopping func() bool
@@ -101,15 +103,18 @@
 
 // request is the state of a caller's request in progress.
 type request struct {
-	relay   *Relay
-	w       http.ResponseWriter
-	r       *http.Request
-	meta    call.RequestMetadata
-	config  *fleet.Config
-	route   fleet.Route
-	account *fleet.Account
-	service string
-	body    []byte
+	relay *Relay
+	w     http.ResponseWriter
+	r     *http.Request
+	meta  call.RequestMetadata
+	// sharedParts holds the identifiers of the prompt's parts that other requests may
+	// share.
+	sharedParts []string
+	config      *fleet.Config
+	route       fleet.Route
+	account     *fleet.Account
+	service     string
+	body        []byte
 	// buffers holds the buffers of all attempts.
 	buffers []*membudget.Buffer
 	// cost is the number of tokens charged to the account's rate limit.
@@ -134,6 +139,7 @@
 // ServeHTTP implements http.Handler.
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{relay: l, w: w, r: r, meta: l.Codec.DecodeRequest(r.Header), startedAt: l.Now()}
+	q.sharedParts = sharedPartIDs(&q.meta)
 	if l.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -265,10 +271,8 @@
 	}
 }
 
-// sharedPartIDs returns the identifiers of the prompt's parts that other requests may
-// share.
-func (q *request) sharedPartIDs() []string {
-	parts := q.meta.SharedParts()
+func sharedPartIDs(meta *call.RequestMetadata) []string {
+	parts := meta.SharedParts()
 	ids := make([]string, len(parts))
 	for i := range parts {
 		ids[i] = parts[i].ID
--- a/pkg/relay/virtualtime_test.go
+++ b/pkg/relay/virtualtime_test.go
@@ -59,6 +59,15 @@
 
 func (testCodec) SetRequestID(h http.Header, id string) { h.Set(testHeaderID, id) }
 
+// noQuarantine implements Quarantine for prompts that crash no targets.
+type noQuarantine struct{}
+
+func (noQuarantine) Check([]string) string { return "" }
+
+func (noQuarantine) Completed([]string) {}
+
+func (noQuarantine) BrokenOff(string, fleet.Target, []string) {}
+
 // scriptStep is what a target does next with a request.
 type scriptStep struct {
 	pause  time.Duration
@@ -117,7 +126,7 @@
 		Pools: targetconn.NewPoolsWithDialer(w.dial), Buffers: membudget.New(64 << 20), Log: eventlog.New(&w.log, "entry", "vm"), Metrics: tally.NoopScope, Now: w.now,
 		CurrentConfig: func() *fleet.Config { return config }, Targets: func() []fleet.Target { return listed },
 		OnLeaving: func(fleet.Boot) {}, Stopping: func() bool { return false }, Refusing: func() bool { return false }, DrainExpired: context.Background(),
-		Processes: func() int { return 1 }, Retries: NewRetryBudgets(0, 100),
+		Processes: func() int { return 1 }, Retries: NewRetryBudgets(0, 100), Quarantine: noQuarantine{},
 	})
 	return w
 }
