A stream without a length that ends before its first event is not complete

What callers saw: 200 with an empty stream, taken for a whole answer, when a target crashed after the head of a response that ends with its connection.

Cause: such a response was taken for complete unless it ended within an event; an end before the first one looked like an empty body. Class: the end of a connection is taken for the end of an answer.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -36,8 +36,10 @@
 	// number of bytes that have been searched for its end.
 	blockStart int
 	scanned    int
-	// endsWithEvent is set if the body can be complete only at the end of an event.
+	// endsWithEvent is set if the body can be complete only at the end of an event, and
+	// hasEvent once an event has been read.
 	endsWithEvent bool
+	hasEvent      bool
 }
 
 func newEventReader(body io.Reader, buffer *membudget.Buffer) *eventReader {
@@ -60,7 +62,8 @@
 // next reads once from the body and returns the complete events received so far,
 // if any; they are valid until the next call. With io.EOF, next returns the
 // unmodified remainder of the stream. With any other error, a truncated event is
-// not returned; io.ErrUnexpectedEOF means that a stream ended within one.
+// not returned; io.ErrUnexpectedEOF means that a stream ended within one,
+// or without any.
 func (r *eventReader) next() ([]byte, error) {
 	r.discardConsumed()
 	err := r.buffer.ReadOnce(r.body, maxEventBytes)
@@ -72,7 +75,7 @@
 	if !errors.Is(err, io.EOF) {
 		return data[:r.consumed], err
 	}
-	if r.endsWithEvent && r.blockStart < len(data) {
+	if r.endsWithEvent && (!r.hasEvent || r.blockStart < len(data)) {
 		return data[:r.consumed], io.ErrUnexpectedEOF
 	}
 	r.consumed = len(data)
@@ -98,6 +101,7 @@
 		}
 		if isEvent(data[r.blockStart:end]) {
 			r.consumed = end
+			r.hasEvent = true
 		}
 		r.blockStart, r.scanned = end, end
 	}
