--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -81,6 +81,7 @@
 	target := &response.target
 	suspected := k.table.RecordCrash(time.Now(), target.Boot(), response.parts)
 	k.entry.log.Log(eventlog.TargetCrashed, "request_id", response.requestID, "target", target.ID, "born", target.StartUnixMS, "parts", partList(suspected))
+	k.entry.metrics.Scope.Counter("requests_under_crashes").Inc(1)
 	if len(suspected) == 0 {
 		return
 	}
@@ -108,6 +109,7 @@
 }
 
 func (k *quarantineKeeper) logTransitions(source string) {
+	k.entry.metrics.Scope.Gauge("quarantined_parts").Update(float64(k.table.QuarantinedParts()))
 	for _, transition := range k.table.TakeTransitions() {
 		if !transition.Quarantined {
 			k.entry.log.Log(eventlog.PartReleased, "part", transition.Part, "source", source)
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -295,6 +295,13 @@
 	return transitions
 }
 
+// QuarantinedParts returns the number of quarantined parts.
+func (t *Table) QuarantinedParts() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.quarantined)
+}
+
 // Check returns the quarantined part because of which a request with the given parts
 // must not be sent to a target, or "" if there is none.
 func (t *Table) Check(parts []string) string {
