--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -89,6 +89,8 @@
 	// KeepAlive is the time for which the connection may be idle; 0 if it was
 	// not sent.
 	KeepAlive time.Duration
+	// Limit is the rate limit that the target names in the response.
+	Limit TargetLimit
 	// Leaving reports whether the target announces that it is leaving.
 	Leaving bool
 	// Pause is the time for which a target that rejected the request wants no
@@ -96,6 +98,16 @@
 	Pause time.Duration
 }
 
+// TargetLimit is the limit that a response names for all requests to its target, over all
+// VMs together.
+type TargetLimit struct {
+	// Named is set if the response names a valid limit of PerSecond requests.
+	Named     bool
+	PerSecond float64
+	// Invalid holds the values that are no valid limit; empty if there are none.
+	Invalid string
+}
+
 // Load is a target's own report of its load.
 type Load struct {
 	Running int
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -58,6 +58,10 @@
 	GroupSilent        = Event{938, "group_silent", "No state of another group of processes arrives any more; its share of the rate limits stays reserved for it.", []string{"group", "hub", "silent_ms"}}
 	ResponseSilent     = Event{939, "response_silent", "A target has sent nothing of a repeatable request's response for some time. Its attempt goes on; standby is the target of a second attempt beside it, and reason is why there is none.",
 		[]string{"request_id", "try", "target", "events", "took_ms", "standby", "reason", "left_ms"}}
+	TargetLimitNamed = Event{945, "target_limit_named", "A target's response named the requests per second that it takes from all VMs together.",
+		[]string{"request_id", "target", "born", "per_second"}}
+	TargetLimitInvalid = Event{946, "target_limit_invalid", "A target's response named a limit that is no number of requests per second; it changes nothing.",
+		[]string{"request_id", "target", "born", "value"}}
 	TargetCrashed = Event{940, "target_crashed", "A target broke off the response to a request, and refuses connections: it has crashed. parts lists the parts of the prompt that are suspected; those of recently completed responses are not.",
 		[]string{"request_id", "target", "born", "parts"}}
 	ResponseUnexplained = Event{941, "response_unexplained", "A target broke off the response to a request before or soon after its first event, and is not known to have crashed; reason says what was found.",
@@ -77,4 +81,5 @@
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
+	TargetLimitNamed, TargetLimitInvalid,
 }
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -5,6 +5,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -57,12 +58,24 @@
 	if a.responseMeta.Leaving {
 		q.relay.OnLeaving(boot)
 	}
+	q.logLimit(a, boot)
 	if pause := a.responseMeta.Pause; pause > 0 {
 		q.relay.Balancer.Pause(boot, q.relay.Now()+pause)
 		q.relay.Log.Log(eventlog.TargetPaused, "request_id", q.meta.ID, "target", boot.ID, "born", boot.StartUnixMS, "pause_ms", pause.Milliseconds())
 	}
 }
 
+// logLimit logs the limit that a response names for its target.
+func (q *request) logLimit(a *attempt, boot fleet.Boot) {
+	limit := &a.responseMeta.Limit
+	if limit.Named {
+		q.relay.Log.Log(eventlog.TargetLimitNamed, "request_id", q.meta.ID, "target", boot.ID, "born", boot.StartUnixMS, "per_second", limit.PerSecond)
+	}
+	if limit.Invalid != "" {
+		q.relay.Log.Log(eventlog.TargetLimitInvalid, "request_id", q.meta.ID, "target", boot.ID, "born", boot.StartUnixMS, "value", limit.Invalid)
+	}
+}
+
 // connLimit returns this process's share of the connections that a target
 // accepts.
 func (q *request) connLimit() int {
