--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -11,6 +11,7 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip/gossippb"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
+	"github.com/baobabhub/baobabhub/pkg/targetlimit"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
 
@@ -51,6 +52,8 @@
 	Unreachable []fleet.Boot
 	// SuspectedParts holds the parts of prompts under which targets have crashed.
 	SuspectedParts []quarantine.Record
+	// Limits holds the newest observations of the limits that targets name.
+	Limits []targetlimit.Observation
 	// FencingToken is the fencing token of the leader, which sends load orders to
 	// engines, and LeaderRemaining the time for which its lease is certain to be
 	// valid. Both are 0 if the sender does not pass on the leader's state. Engines
@@ -104,6 +107,7 @@
 	state.Leaving = encodeBoots(m.Leaving)
 	state.Unreachable = encodeBoots(m.Unreachable)
 	state.SuspectedParts = encodeSuspectedParts(m.SuspectedParts)
+	state.Limits = encodeLimits(m.Limits)
 	for account, usage := range m.Usage {
 		state.Usage = append(state.Usage, &gossippb.Usage{
 			Account: account, Admitted: int64(math.Round(usage.Admitted)), Level: int64(math.Round(usage.Level)),
@@ -133,7 +137,7 @@
 func encodeBoots(boots []fleet.Boot) []*gossippb.TargetRun {
 	var runs []*gossippb.TargetRun
 	for _, boot := range boots {
-		runs = append(runs, &gossippb.TargetRun{Id: boot.ID, BornUnixMs: boot.StartUnixMS})
+		runs = append(runs, encodeBoot(boot))
 	}
 	return runs
 }
@@ -141,18 +145,48 @@
 func decodeBoots(runs []*gossippb.TargetRun) []fleet.Boot {
 	var boots []fleet.Boot
 	for _, run := range runs {
-		boots = append(boots, fleet.Boot{ID: run.GetId(), StartUnixMS: run.GetBornUnixMs()})
+		boots = append(boots, decodeBoot(run))
 	}
 	return boots
 }
 
+func encodeBoot(boot fleet.Boot) *gossippb.TargetRun {
+	return &gossippb.TargetRun{Id: boot.ID, BornUnixMs: boot.StartUnixMS}
+}
+
+func decodeBoot(run *gossippb.TargetRun) fleet.Boot {
+	return fleet.Boot{ID: run.GetId(), StartUnixMS: run.GetBornUnixMs()}
+}
+
+func encodeLimits(observations []targetlimit.Observation) []*gossippb.LimitObservation {
+	var limits []*gossippb.LimitObservation
+	for i := range observations {
+		o := &observations[i]
+		limits = append(limits, &gossippb.LimitObservation{
+			Target: encodeBoot(o.Target), Observer: o.Observer, Sequence: o.Sequence,
+			Named: o.Named, PerSecond: o.PerSecond, AgeMs: uint32(o.Age.Milliseconds()),
+		})
+	}
+	return limits
+}
+
+func decodeLimits(limits []*gossippb.LimitObservation) []targetlimit.Observation {
+	var observations []targetlimit.Observation
+	for _, l := range limits {
+		observations = append(observations, targetlimit.Observation{
+			Target: decodeBoot(l.GetTarget()), Observer: l.GetObserver(), Sequence: l.GetSequence(),
+			Named: l.GetNamed(), PerSecond: l.GetPerSecond(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return observations
+}
+
 func encodeSuspectedParts(records []quarantine.Record) []*gossippb.SuspectedPart {
 	var parts []*gossippb.SuspectedPart
 	for i := range records {
 		part := &gossippb.SuspectedPart{Part: records[i].Part}
 		for _, crash := range records[i].Crashes {
-			target := &gossippb.TargetRun{Id: crash.Target.ID, BornUnixMs: crash.Target.StartUnixMS}
-			part.Crashes = append(part.Crashes, &gossippb.Crash{Target: target, CrashedUnixMs: crash.UnixMS, Cleared: crash.Cleared})
+			part.Crashes = append(part.Crashes, &gossippb.Crash{Target: encodeBoot(crash.Target), CrashedUnixMs: crash.UnixMS, Cleared: crash.Cleared})
 		}
 		parts = append(parts, part)
 	}
@@ -164,8 +198,7 @@
 	for _, part := range parts {
 		record := quarantine.Record{Part: part.GetPart()}
 		for _, crash := range part.GetCrashes() {
-			target := fleet.Boot{ID: crash.GetTarget().GetId(), StartUnixMS: crash.GetTarget().GetBornUnixMs()}
-			record.Crashes = append(record.Crashes, quarantine.Crash{Target: target, UnixMS: crash.GetCrashedUnixMs(), Cleared: crash.GetCleared()})
+			record.Crashes = append(record.Crashes, quarantine.Crash{Target: decodeBoot(crash.GetTarget()), UnixMS: crash.GetCrashedUnixMs(), Cleared: crash.GetCleared()})
 		}
 		records = append(records, record)
 	}
@@ -198,6 +231,7 @@
 	m.Leaving = decodeBoots(state.GetLeaving())
 	m.Unreachable = decodeBoots(state.GetUnreachable())
 	m.SuspectedParts = decodeSuspectedParts(state.GetSuspectedParts())
+	m.Limits = decodeLimits(state.GetLimits())
 	for _, u := range state.GetUsage() {
 		m.Usage[u.GetAccount()] = tokenrate.Usage{Admitted: float64(u.GetAdmitted()), Level: float64(u.GetLevel())}
 	}
--- /dev/null
+++ b/pkg/targetlimit/targetlimit.go
@@ -0,0 +1,334 @@
+// Package targetlimit keeps the requests to a target within the rate limit that it names
+// in its responses, over all processes together.
+//
+// A limit is divided among a few processes, the holders, which all processes derive from
+// the list of members; the others send the target nothing. The processes tell each other
+// the newest observation of each target, so that a process knows of a limit before the
+// target names it to the process itself. Without messages, a process still learns from
+// the target's responses to its own requests.
+//
+// The package is independent of the transport. Times are offsets on the process's
+// monotonic clock.
+package targetlimit
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+const (
+	// minShare is the smallest share of a holder in requests per second, unless the
+	// whole limit is smaller.
+	minShare = 1.0
+	// minLimit is the rate in requests per second that is assumed for lower limits. A
+	// target that gets no requests can't say that its limit has ended.
+	minLimit = 0.1
+	// pauseAfterNaming is the time after a target has named a limit for which it gets
+	// no requests while others can serve them. It makes up for the requests just before,
+	// which count too.
+	pauseAfterNaming = 2 * time.Second
+	// refreshInterval is the time without an observation after which a holder prefers
+	// the target, in order to learn whether it still names a limit.
+	refreshInterval = 3 * time.Second
+	// endedTTL is the time for which processes tell each other that a limit has ended.
+	endedTTL = 5 * time.Second
+	// renamingMargin is the time after the end of a limit within which a peer's
+	// observation may be older than that end.
+	renamingMargin = 200 * time.Millisecond
+)
+
+// Observation is what a response of a target showed of its limit.
+type Observation struct {
+	Target fleet.Boot
+	// Observer identifies the run of the process that received the response, and
+	// Sequence the observation among its own.
+	Observer uint64
+	Sequence uint64
+	// Named is set if the response named a limit of PerSecond requests. Otherwise the
+	// limit has ended.
+	Named     bool
+	PerSecond float64
+	// Age is the time since the response.
+	Age time.Duration
+}
+
+// Allowance tells whether a target may get a request from this process.
+type Allowance struct {
+	// Limited is set while the target names a limit.
+	Limited bool
+	// Ready reports whether the share of this process allows a request now. Spare
+	// reports whether it does if no other target can serve the request.
+	Ready bool
+	Spare bool
+	// Due is set if the target should get the next request, since its latest
+	// observation is old.
+	Due bool
+	// Wait is the time until a request may be allowed, at this process or another one.
+	Wait time.Duration
+}
+
+// Change is what an observation has changed.
+type Change struct {
+	Target fleet.Boot
+	// Limited and PerSecond are the present limit.
+	Limited   bool
+	PerSecond float64
+	// Share is the part of the limit that this process may use.
+	Share float64
+}
+
+// state is what is known of a run of a target.
+type state struct {
+	newest Observation
+	// observedAt is the time of the newest observation, and namedAt the time at which
+	// this process learned that the target names a limit.
+	observedAt time.Duration
+	namedAt    time.Duration
+	// share is this process's part of the limit, in requests per second; 0 if it is no
+	// holder. tokens is the number of requests that it allowed at tokensAt.
+	share    float64
+	tokens   float64
+	tokensAt time.Duration
+}
+
+// Table holds the limits of all targets. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	self     string
+	observer uint64
+	sequence uint64
+	// members holds the processes among which limits are divided, with this one. It is
+	// empty until the list of members is known, and after Leave.
+	members []string
+	left    bool
+	states  map[fleet.Boot]*state
+}
+
+// New returns the table of the process self. observer identifies its run.
+func New(self string, observer uint64) *Table {
+	return &Table{self: self, observer: observer, states: map[fleet.Boot]*state{}}
+}
+
+// SetMembers sets the processes of the fleet, with or without this one.
+func (t *Table) SetMembers(now time.Duration, members []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left {
+		return
+	}
+	t.members = slices.Clone(members)
+	if !slices.Contains(t.members, t.self) {
+		t.members = append(t.members, t.self)
+	}
+	t.divide(now)
+}
+
+// Leave ends the use of this process's shares, since its peers will divide them among
+// themselves.
+func (t *Table) Leave(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.left = true
+	t.members = nil
+	t.divide(now)
+}
+
+// divide derives this process's shares. The caller must hold t.mu.
+func (t *Table) divide(now time.Duration) {
+	for target, s := range t.states {
+		t.setShare(now, target, s)
+	}
+}
+
+func (t *Table) setShare(now time.Duration, target fleet.Boot, s *state) {
+	s.refill(now)
+	wasHolder := s.share > 0
+	s.share = t.shareOf(target, s)
+	if !wasHolder {
+		// The previous holder may have used its share just now.
+		s.tokens = 0
+	}
+}
+
+// shareOf returns this process's share of a target's limit.
+func (t *Table) shareOf(target fleet.Boot, s *state) float64 {
+	if !s.newest.Named || len(t.members) == 0 {
+		return 0
+	}
+	limit := max(minLimit, s.newest.PerSecond)
+	holders := int(min(float64(len(t.members)), max(1, limit/minShare)))
+	if t.rank(target) >= holders {
+		return 0
+	}
+	return limit / float64(holders)
+}
+
+// rank returns the number of members that are holders of a target's limit before this
+// process, by rendezvous hashing.
+func (t *Table) rank(target fleet.Boot) int {
+	own := rendezvous(target, t.self)
+	rank := 0
+	for _, member := range t.members {
+		if compareHolders(rendezvous(target, member), member, own, t.self) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+func compareHolders(weightA uint64, a string, weightB uint64, b string) int {
+	return cmp.Or(cmp.Compare(weightB, weightA), cmp.Compare(a, b))
+}
+
+func rendezvous(target fleet.Boot, member string) uint64 {
+	return xxhash.Sum64String(target.ID + "\x00" + member)
+}
+
+// refill adds the requests that the share has allowed since the last call.
+func (s *state) refill(now time.Duration) {
+	s.tokens = min(s.capacity(), s.tokens+s.share*(now-s.tokensAt).Seconds())
+	s.tokensAt = now
+}
+
+// capacity returns the number of requests that may be sent at the same time.
+func (s *state) capacity() float64 {
+	const burst = 100 * time.Millisecond
+	return max(1, s.share*burst.Seconds())
+}
+
+// RecordResponse records a response of a target to a request that this process sent at
+// sentAt. It returns what that changes, if anything.
+func (t *Table) RecordResponse(now time.Duration, target fleet.Boot, sentAt time.Duration, named bool, perSecond float64) (Change, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, known := t.states[target]
+	if !named {
+		// A response to an earlier request may have been on its way already when the
+		// target named its limit.
+		if !known || !s.newest.Named || sentAt <= s.observedAt {
+			return Change{}, false
+		}
+	}
+	t.sequence++
+	return t.apply(now, now, Observation{Target: target, Observer: t.observer, Sequence: t.sequence, Named: named, PerSecond: perSecond})
+}
+
+// Merge applies a peer's newest observations and returns what they change.
+func (t *Table) Merge(now time.Duration, observations []Observation) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, o := range observations {
+		if change, ok := t.merge(now, o); ok {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+func (t *Table) merge(now time.Duration, o Observation) (Change, bool) {
+	observedAt := now - max(0, o.Age)
+	s, known := t.states[o.Target]
+	switch {
+	case !known && !o.Named:
+		return Change{}, false
+	case !known:
+	case s.newest.Observer == o.Observer && s.newest.Sequence >= o.Sequence:
+		return Change{}, false
+	case observedAt <= s.observedAt:
+		return Change{}, false
+	case o.Named && !s.newest.Named && observedAt <= s.observedAt+renamingMargin:
+		return Change{}, false
+	}
+	return t.apply(now, observedAt, o)
+}
+
+// apply makes an observation the newest one of its target and returns what it changes.
+func (t *Table) apply(now, observedAt time.Duration, o Observation) (Change, bool) {
+	s, known := t.states[o.Target]
+	if !known {
+		s = &state{tokensAt: now}
+		t.states[o.Target] = s
+	}
+	changed := s.newest.Named != o.Named || s.newest.PerSecond != o.PerSecond
+	if o.Named && !s.newest.Named {
+		s.namedAt, s.tokens = now, 0
+	}
+	s.newest, s.observedAt = o, observedAt
+	if !changed {
+		return Change{}, false
+	}
+	t.setShare(now, o.Target, s)
+	return Change{Target: o.Target, Limited: o.Named, PerSecond: o.PerSecond, Share: s.share}, true
+}
+
+// Newest returns the newest observations of the targets that name a limit, and of those
+// whose limit has ended within endedTTL, for the other processes.
+func (t *Table) Newest(now time.Duration) []Observation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var observations []Observation
+	for _, s := range t.states {
+		o := s.newest
+		o.Age = now - s.observedAt
+		if o.Named || o.Age <= endedTTL {
+			observations = append(observations, o)
+		}
+	}
+	return observations
+}
+
+// Allow tells whether a target may get a request from this process.
+func (t *Table) Allow(now time.Duration, target fleet.Boot) Allowance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, known := t.states[target]
+	if !known || !s.newest.Named {
+		return Allowance{Ready: true, Spare: true}
+	}
+	s.refill(now)
+	a := Allowance{Limited: true, Spare: s.tokens >= 1}
+	pausedUntil := s.namedAt + pauseAfterNaming
+	a.Ready = a.Spare && now >= pausedUntil
+	a.Due = a.Ready && now-s.observedAt >= refreshInterval
+	if !a.Spare {
+		a.Wait = s.wait()
+	}
+	return a
+}
+
+// wait returns the time until the limit allows a further request.
+func (s *state) wait() time.Duration {
+	rate, missing := s.share, 1-s.tokens
+	if rate == 0 {
+		rate, missing = max(minLimit, s.newest.PerSecond), 1
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
+// Take counts a request that is about to be sent to a target.
+func (t *Table) Take(now time.Duration, target fleet.Boot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, known := t.states[target]; known && s.newest.Named {
+		s.refill(now)
+		s.tokens--
+	}
+}
+
+// Prune forgets the targets that are no longer listed.
+func (t *Table) Prune(listed func(target fleet.Boot) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for target := range t.states {
+		if !listed(target) {
+			delete(t.states, target)
+		}
+	}
+}
