Keep to the limits that targets name, over all processes

What callers saw: a target in need that named the requests a second that it takes got what it would have got without: 21 requests in 4 s at a limit of 1.5 a second (allowed 14), while its requests waited.

Cause: nothing read the header. Class: a target's word to one process has to bind all of them, and nothing carried it (leaving targets have their news; limits had none).

Why this works: the limit is divided among a few processes that all derive from the list of members, the newest observation is sent to all at once and with each message, and the choice of a target takes a request from the process's share, for each attempt.

Found on the way: the choice of the lowest score took the last candidate if a score was negative; a preference showed it (a limited target got 1 to 4 requests in 4 s at 3 a second).

Ruled out: second attempts and retries as the cause (try numbers are 1 in the excess).

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -16,6 +16,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/targetlimit"
 )
 
 // Limits of the prefix state that a Balancer keeps.
@@ -130,6 +131,8 @@
 	ReasonOverload = "overload"
 	// ReasonPaused: all targets have requested a pause.
 	ReasonPaused = "targets_paused"
+	// ReasonLimited: all targets name rate limits, which allow no request now.
+	ReasonLimited = "targets_limited"
 )
 
 // Balancer tracks the state of each target and selects targets for requests.
@@ -152,6 +155,7 @@
 	storeViews      map[string]*storeView
 	heads           *headShares
 	importDelays    importDelays
+	limits          *targetlimit.Table
 	// onDrained is called when this process has no more requests in flight at a
 	// target that is cordoned or loading weights, or no more that wait for the
 	// first byte. It must not block.
@@ -196,9 +200,13 @@
 		importDelays:     importDelays{byStore: map[string]*movingDelay{}},
 		versionHistories: map[string]*fleet.VersionHistory{},
 		versionDeadline:  versionDeadline,
+		limits:           targetlimit.New(processID, random.Uint64()),
 	}
 }
 
+// Limits returns the rate limits that targets name.
+func (b *Balancer) Limits() *targetlimit.Table { return b.limits }
+
 // OnDrained sets the function that is called when this process has no more
 // requests in flight at a target that is cordoned or loading weights, or no more
 // that wait for the first byte. The function must not block.
@@ -272,6 +280,7 @@
 	if req.MaxExpectedTTFB > 0 && best.ExpectedTTFB > req.MaxExpectedTTFB {
 		return Choice{}, &Refusal{Reason: ReasonOverload, RetryAfter: best.ExpectedTTFB - req.MaxExpectedTTFB/2}
 	}
+	b.limits.Take(now, best.Target.Boot())
 	return best, nil
 }
 
@@ -280,13 +289,13 @@
 	preferred := b.affinity(now, req, candidates)
 	stored := map[string]storeMatch{}
 	var best Choice
-	bestScore := time.Duration(-1)
+	var bestScore time.Duration
 	for i := range candidates {
 		choice, score := b.score(now, req, candidates, i, preferred, stored)
 		if req.MaxExpectedTTFB > 0 && choice.ExpectedTTFB > req.MaxExpectedTTFB {
 			score += excessTTFBPenalty
 		}
-		if bestScore < 0 || score < bestScore {
+		if i == 0 || score < bestScore {
 			best, bestScore = choice, score
 		}
 	}
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/targetlimit"
 )
 
 const (
@@ -35,14 +36,16 @@
 	target  *fleet.Target
 	state   *targetState
 	version int64
+	// allowance is what the target's rate limit allows.
+	allowance targetlimit.Allowance
 	// hash is the hash of the target's identifier.
 	hash uint64
 }
 
 // filter drops the targets that cannot serve the request. Among the rest it
 // prefers healthy targets, then those that are not about to change their
-// weights, then those whose weights are recent enough. A preference is ignored
-// if no candidate satisfies it.
+// weights, then those whose weights are recent enough, then those whose rate limit is
+// due to be observed. A preference is ignored if no candidate satisfies it.
 func (b *Balancer) filter(now time.Duration, req *Request, targets []fleet.Target) ([]candidate, *Refusal) {
 	serving := b.servingTargets(req, targets)
 	if len(serving) == 0 {
@@ -52,6 +55,10 @@
 	if len(eligible) == 0 {
 		return nil, &Refusal{Reason: ReasonPaused, RetryAfter: shortestPause(now, serving)}
 	}
+	eligible, refusal := b.withinLimits(now, eligible)
+	if refusal != nil {
+		return nil, refusal
+	}
 	eligible = selectCandidates(eligible, func(c *candidate) bool { return now >= c.state.loadingUntil })
 	if len(eligible) == 0 {
 		return nil, &Refusal{Reason: ReasonLoading, RetryAfter: loadingRetryDelay}
@@ -68,7 +75,22 @@
 	if len(eligible) == 0 {
 		return nil, &Refusal{Reason: ReasonLoading, RetryAfter: loadingRetryDelay}
 	}
-	return eligible, nil
+	return preferCandidates(eligible, func(c *candidate) bool { return c.allowance.Due }), nil
+}
+
+// withinLimits returns the candidates whose rate limits allow a request now.
+func (b *Balancer) withinLimits(now time.Duration, candidates []candidate) ([]candidate, *Refusal) {
+	for i := range candidates {
+		candidates[i].allowance = b.limits.Allow(now, candidates[i].target.Boot())
+	}
+	if ready := selectCandidates(candidates, func(c *candidate) bool { return c.allowance.Ready }); len(ready) > 0 {
+		return ready, nil
+	}
+	wait := candidates[0].allowance.Wait
+	for i := range candidates {
+		wait = min(wait, candidates[i].allowance.Wait)
+	}
+	return nil, &Refusal{Reason: ReasonLimited, RetryAfter: wait}
 }
 
 // servingTargets returns the non-excluded targets of the service that serve
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -22,6 +22,9 @@
 	// staleWeightsPenalty is the penalty of targets whose weights were
 	// superseded more than staleWeightsGrace ago.
 	staleWeightsPenalty = 120 * time.Millisecond
+	// limitedPreference is the preference for a target with a rate limit that allows a
+	// request. Otherwise this process's share of the limit might lapse unused.
+	limitedPreference = 50 * time.Millisecond
 	// failurePenalty is the penalty of a target whose requests all fail; it is
 	// scaled by the failure rate.
 	failurePenalty = 1500 * time.Millisecond
@@ -96,6 +99,9 @@
 	if b.versionHistory(req.Model).Staleness(now, c.version) > staleWeightsGrace {
 		score += staleWeightsPenalty
 	}
+	if c.allowance.Limited {
+		score -= limitedPreference
+	}
 	score += time.Duration(c.state.failureRate(now) * float64(failurePenalty))
 	if recomputed > 0 {
 		score += maxTargetBias
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -192,6 +192,7 @@
 		CurrentConfig: e.config.Load,
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
 		OnLeaving:     e.leaving.observe,
+		OnLimit:       e.recordLimit,
 		Quarantine:    e.quarantine,
 		Stopping:      e.stopping.Load,
 		Refusing:      e.refusing.Load,
@@ -278,7 +279,9 @@
 func (e *Entry) runHousekeeping(ctx context.Context) {
 	for clock.Sleep(ctx, pruneInterval) {
 		e.pools.Prune(time.Now())
-		e.balancer.Prune(e.directory.Targets(e.uptime()))
+		targets := e.directory.Targets(e.uptime())
+		e.balancer.Prune(targets)
+		e.pruneLimits(targets)
 		e.directory.Prune(e.uptime())
 		e.members.markSilentPeers()
 		e.quarantine.expire()
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -58,8 +58,9 @@
 	GroupSilent        = Event{938, "group_silent", "No state of another group of processes arrives any more; its share of the rate limits stays reserved for it.", []string{"group", "hub", "silent_ms"}}
 	ResponseSilent     = Event{939, "response_silent", "A target has sent nothing of a repeatable request's response for some time. Its attempt goes on; standby is the target of a second attempt beside it, and reason is why there is none.",
 		[]string{"request_id", "try", "target", "events", "took_ms", "standby", "reason", "left_ms"}}
-	TargetLimitNamed = Event{945, "target_limit_named", "A target's response named the requests per second that it takes from all VMs together.",
-		[]string{"request_id", "target", "born", "per_second"}}
+	TargetLimitNamed = Event{945, "target_limit_named", "A target names the requests per second that it takes from all VMs together, or another number than before. share is this process's part. The request is the one whose response told this process, empty if the source is a peer.",
+		[]string{"request_id", "target", "born", "per_second", "share", "source"}}
+	TargetLimitEnded   = Event{947, "target_limit_ended", "A target no longer names a limit.", []string{"request_id", "target", "born", "source"}}
 	TargetLimitInvalid = Event{946, "target_limit_invalid", "A target's response named a limit that is no number of requests per second; it changes nothing.",
 		[]string{"request_id", "target", "born", "value"}}
 	TargetCrashed = Event{940, "target_crashed", "A target broke off the response to a request, and refuses connections: it has crashed. parts lists the parts of the prompt that are suspected; those of recently completed responses are not.",
@@ -81,5 +82,5 @@
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
-	TargetLimitNamed, TargetLimitInvalid,
+	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded,
 }
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -58,21 +58,22 @@
 	if a.responseMeta.Leaving {
 		q.relay.OnLeaving(boot)
 	}
-	q.logLimit(a, boot)
+	q.recordLimit(a, boot)
 	if pause := a.responseMeta.Pause; pause > 0 {
 		q.relay.Balancer.Pause(boot, q.relay.Now()+pause)
 		q.relay.Log.Log(eventlog.TargetPaused, "request_id", q.meta.ID, "target", boot.ID, "born", boot.StartUnixMS, "pause_ms", pause.Milliseconds())
 	}
 }
 
-// logLimit logs the limit that a response names for its target.
-func (q *request) logLimit(a *attempt, boot fleet.Boot) {
+// recordLimit records the limit that a response names for its target, or that it names
+// none.
+func (q *request) recordLimit(a *attempt, boot fleet.Boot) {
 	limit := &a.responseMeta.Limit
-	if limit.Named {
-		q.relay.Log.Log(eventlog.TargetLimitNamed, "request_id", q.meta.ID, "target", boot.ID, "born", boot.StartUnixMS, "per_second", limit.PerSecond)
-	}
-	if limit.Invalid != "" {
+	switch {
+	case limit.Invalid != "":
 		q.relay.Log.Log(eventlog.TargetLimitInvalid, "request_id", q.meta.ID, "target", boot.ID, "born", boot.StartUnixMS, "value", limit.Invalid)
+	case limit.Named, !a.responseMeta.NotRun:
+		q.relay.OnLimit(q.meta.ID, boot, a.startedAt, *limit)
 	}
 }
 
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -56,6 +56,9 @@
 	// OnLeaving is called when a response announces that its target is leaving.
 	// It must not block.
 	OnLeaving func(boot fleet.Boot)
+	// OnLimit is called with the limit that a response named, if any. sentAt is the time
+	// at which its request was sent. It must not block.
+	OnLimit func(requestID string, boot fleet.Boot, sentAt time.Duration, limit call.TargetLimit)
 	// Quarantine knows the parts of prompts that crash targets.
 	Quarantine Quarantine
 	// Stopping reports whether the process is stopping, in which case
--- a/pkg/targetlimit/targetlimit.go
+++ b/pkg/targetlimit/targetlimit.go
@@ -29,10 +29,13 @@
 	// minLimit is the rate in requests per second that is assumed for lower limits. A
 	// target that gets no requests can't say that its limit has ended.
 	minLimit = 0.1
-	// pauseAfterNaming is the time after a target has named a limit for which it gets
-	// no requests while others can serve them. It makes up for the requests just before,
-	// which count too.
-	pauseAfterNaming = 2 * time.Second
+	// pauseAfterNaming is the time for which a target gets no requests after it has
+	// named a limit, and during which no share accumulates. It makes up for the requests
+	// just before, which count too. longPauseAfterNaming applies if the target has been
+	// getting more than longPauseFactor times the limit.
+	pauseAfterNaming     = time.Second
+	longPauseAfterNaming = 2 * time.Second
+	longPauseFactor      = 2.0
 	// refreshInterval is the time without an observation after which a holder prefers
 	// the target, in order to learn whether it still names a limit.
 	refreshInterval = 3 * time.Second
@@ -62,10 +65,8 @@
 type Allowance struct {
 	// Limited is set while the target names a limit.
 	Limited bool
-	// Ready reports whether the share of this process allows a request now. Spare
-	// reports whether it does if no other target can serve the request.
+	// Ready reports whether the share of this process allows a request now.
 	Ready bool
-	Spare bool
 	// Due is set if the target should get the next request, since its latest
 	// observation is old.
 	Due bool
@@ -86,12 +87,11 @@
 // state is what is known of a run of a target.
 type state struct {
 	newest Observation
-	// observedAt is the time of the newest observation, and namedAt the time at which
-	// this process learned that the target names a limit.
+	// observedAt is the time of the newest observation.
 	observedAt time.Duration
-	namedAt    time.Duration
 	// share is this process's part of the limit, in requests per second; 0 if it is no
-	// holder. tokens is the number of requests that it allowed at tokensAt.
+	// holder. tokens is the number of requests that it allowed at tokensAt, which is
+	// the end of a pause while that lasts.
 	share    float64
 	tokens   float64
 	tokensAt time.Duration
@@ -108,11 +108,13 @@
 	members []string
 	left    bool
 	states  map[fleet.Boot]*state
+	// sent holds this process's latest requests to each target.
+	sent map[fleet.Boot]*sendCount
 }
 
 // New returns the table of the process self. observer identifies its run.
 func New(self string, observer uint64) *Table {
-	return &Table{self: self, observer: observer, states: map[fleet.Boot]*state{}}
+	return &Table{self: self, observer: observer, states: map[fleet.Boot]*state{}, sent: map[fleet.Boot]*sendCount{}}
 }
 
 // SetMembers sets the processes of the fleet, with or without this one.
@@ -192,6 +194,9 @@
 
 // refill adds the requests that the share has allowed since the last call.
 func (s *state) refill(now time.Duration) {
+	if now <= s.tokensAt {
+		return
+	}
 	s.tokens = min(s.capacity(), s.tokens+s.share*(now-s.tokensAt).Seconds())
 	s.tokensAt = now
 }
@@ -256,18 +261,33 @@
 		s = &state{tokensAt: now}
 		t.states[o.Target] = s
 	}
-	changed := s.newest.Named != o.Named || s.newest.PerSecond != o.PerSecond
-	if o.Named && !s.newest.Named {
-		s.namedAt, s.tokens = now, 0
-	}
+	before := s.newest
 	s.newest, s.observedAt = o, observedAt
-	if !changed {
+	if before.Named == o.Named && before.PerSecond == o.PerSecond {
 		return Change{}, false
 	}
 	t.setShare(now, o.Target, s)
+	if o.Named && (!before.Named || o.PerSecond < before.PerSecond) {
+		s.tokens = 0
+		s.tokensAt = now + t.pause(now, &o)
+	}
 	return Change{Target: o.Target, Limited: o.Named, PerSecond: o.PerSecond, Share: s.share}, true
 }
 
+// pause returns the pause after a limit was named. The rate of all processes is estimated
+// from this one's. The caller must hold t.mu.
+func (t *Table) pause(now time.Duration, o *Observation) time.Duration {
+	sent, ok := t.sent[o.Target]
+	if !ok {
+		return pauseAfterNaming
+	}
+	rate := float64(sent.sum(now)) * float64(max(1, len(t.members))) / sendCountPeriod.Seconds()
+	if rate <= longPauseFactor*o.PerSecond {
+		return pauseAfterNaming
+	}
+	return longPauseAfterNaming
+}
+
 // Newest returns the newest observations of the targets that name a limit, and of those
 // whose limit has ended within endedTTL, for the other processes.
 func (t *Table) Newest(now time.Duration) []Observation {
@@ -290,14 +310,12 @@
 	defer t.mu.Unlock()
 	s, known := t.states[target]
 	if !known || !s.newest.Named {
-		return Allowance{Ready: true, Spare: true}
+		return Allowance{Ready: true}
 	}
 	s.refill(now)
-	a := Allowance{Limited: true, Spare: s.tokens >= 1}
-	pausedUntil := s.namedAt + pauseAfterNaming
-	a.Ready = a.Spare && now >= pausedUntil
+	a := Allowance{Limited: true, Ready: s.tokens >= 1}
 	a.Due = a.Ready && now-s.observedAt >= refreshInterval
-	if !a.Spare {
+	if !a.Ready {
 		a.Wait = s.wait()
 	}
 	return a
@@ -305,7 +323,7 @@
 
 // wait returns the time until the limit allows a further request.
 func (s *state) wait() time.Duration {
-	rate, missing := s.share, 1-s.tokens
+	rate, missing := s.share, max(0, 1-s.tokens)
 	if rate == 0 {
 		rate, missing = max(minLimit, s.newest.PerSecond), 1
 	}
@@ -316,6 +334,12 @@
 func (t *Table) Take(now time.Duration, target fleet.Boot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	sent, ok := t.sent[target]
+	if !ok {
+		sent = &sendCount{}
+		t.sent[target] = sent
+	}
+	sent.add(now)
 	if s, known := t.states[target]; known && s.newest.Named {
 		s.refill(now)
 		s.tokens--
@@ -331,4 +355,9 @@
 			delete(t.states, target)
 		}
 	}
+	for target := range t.sent {
+		if !listed(target) {
+			delete(t.sent, target)
+		}
+	}
 }
