--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -80,6 +80,9 @@
 
 // withinLimits returns the candidates whose rate limits allow a request now.
 func (b *Balancer) withinLimits(now time.Duration, candidates []candidate) ([]candidate, *Refusal) {
+	if !b.limits.Any() {
+		return candidates, nil
+	}
 	for i := range candidates {
 		candidates[i].allowance = b.limits.Allow(now, candidates[i].target.Boot())
 	}
--- a/pkg/targetlimit/targetlimit.go
+++ b/pkg/targetlimit/targetlimit.go
@@ -304,6 +304,18 @@
 	return observations
 }
 
+// Any reports whether any target names a limit.
+func (t *Table) Any() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.states {
+		if s.newest.Named {
+			return true
+		}
+	}
+	return false
+}
+
 // Allow tells whether a target may get a request from this process.
 func (t *Table) Allow(now time.Duration, target fleet.Boot) Allowance {
 	t.mu.Lock()
