--- a/test/soak/distress_test.go
+++ b/test/soak/distress_test.go
@@ -28,23 +28,39 @@
 	contactBound    = 3 * time.Second
 	boundCrashes    = 5
 	maxLaterCrashes = 3
+	// namedLimit is the limit of one target in requests per second. In each window of
+	// limitWindow, maxInLimitWindow requests may arrive.
+	namedLimit       = 2
+	limitWindow      = 4 * time.Second
+	maxInLimitWindow = 1.5*namedLimit*4 + 5
 	// minServedAtEnd is the number of sound requests in a row that are served at the end.
 	minServedAtEnd = 20
 )
 
-// distressInjectors are the faults beside which targets crash.
+// distressInjectors are the faults beside which targets crash and name limits.
 var distressInjectors = []faultInjector{
 	stopProcess, killProcess, pauseProcess, injectStoreLinkFault, injectStoreLinkFault, makeStoreUnavailable, loseStoreWatches,
 }
 
-// distress is a deployment with targets that crash on a part of prompts. They are reached without links, so that a crashed one refuses connections.
+// limitArrival is the arrival of a process's request at the target that names a limit.
+type limitArrival struct {
+	at      time.Time
+	process int
+}
+
+// distress is a deployment with targets that crash on a part of prompts, one of which
+// names a limit. They are reached without links, so that a crashed one refuses connections.
 type distress struct {
 	*deployment
+	limited *platformfake.Target
+	namedAt time.Time
+
 	mu       sync.Mutex
 	ended    bool
 	started  int
 	live     []*platformfake.Target
 	crashes  []time.Time
+	arrivals []limitArrival
 	requests int
 }
 
@@ -56,6 +72,8 @@
 	for range 2 * *targetCount {
 		d.startTarget()
 	}
+	d.limited = d.live[0]
+	d.namedAt = time.Now()
 	t.Cleanup(func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -83,12 +101,20 @@
 
 func (d *distress) serve(target *platformfake.Target, w http.ResponseWriter, r *http.Request) {
 	target.SetStamp(w)
+	if target == d.limited {
+		w.Header().Set(platformfake.HeaderLimit, fmt.Sprint(namedLimit))
+		d.recordArrival(r.Header.Get(platformfake.HeaderRequestID))
+	}
 	if !strings.Contains(r.Header.Get(platformfake.HeaderPromptPrefix), crashingPart) {
 		_, _ = io.WriteString(w, streamEvent("a", 1))
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
+	if target == d.limited {
+		// It doesn't crash, so that its requests can be counted all the time.
+		panic(http.ErrAbortHandler)
+	}
 	d.mu.Lock()
 	d.crashes = append(d.crashes, time.Now())
 	d.mu.Unlock()
@@ -99,6 +125,16 @@
 	})
 }
 
+func (d *distress) recordArrival(requestID string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	process := 0
+	if _, err := fmt.Sscanf(requestID, "p%d-", &process); err != nil {
+		d.t.Errorf("unexpected request %q", requestID)
+	}
+	d.arrivals = append(d.arrivals, limitArrival{time.Now(), process})
+}
+
 // send sends a prompt to a process and returns the status, or 0 without a response.
 func (d *distress) send(process int, parts string) int {
 	d.mu.Lock()
@@ -145,7 +181,8 @@
 }
 
 // TestSoakDistressedTargets guards against targets that crash one after the other on one
-// part of prompts, while processes are killed, stopped and paused and the store fails.
+// part of prompts, and targets that get more than the limit that they name, while processes
+// are killed, stopped and paused and the store fails.
 func TestSoakDistressedTargets(t *testing.T) {
 	runSeeds(t, nil, func(t *testing.T, seed uint64) {
 		d := newDistress(t, seed)
@@ -161,8 +198,9 @@
 		close(done)
 		callers.Wait()
 		d.checkCrashes()
+		d.checkLimit()
 		d.checkSound()
-		t.Logf("seed %d: %d requests, %d crashes", seed, d.requests, len(d.crashes))
+		t.Logf("seed %d: %d requests, %d crashes, %d requests to the limited target", seed, d.requests, len(d.crashes), len(d.arrivals))
 	})
 }
 
@@ -184,6 +222,28 @@
 	}
 }
 
+// checkLimit counts the requests of the processes that had no fault within a window or
+// contactBound before it.
+func (d *distress) checkLimit() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for last, end := range d.arrivals {
+		if end.at.Before(d.namedAt.Add(contactBound)) {
+			continue
+		}
+		count := 0
+		for i := last; i >= 0 && end.at.Sub(d.arrivals[i].at) < limitWindow; i-- {
+			if !d.processes[d.arrivals[i].process].mayFail(end.at.Add(-limitWindow-contactBound), end.at, false) {
+				count++
+			}
+		}
+		if float64(count) > maxInLimitWindow {
+			d.t.Errorf("%d requests within %v to a target that names %d a second, %v after it named that", count, limitWindow, namedLimit, end.at.Sub(d.namedAt))
+			return
+		}
+	}
+}
+
 // checkSound checks that sound requests are served at the end, also those with parts that
 // were beside the crashing one.
 func (d *distress) checkSound() {
