A limited target that was not heard of is preferred, not the only choice

What callers would have seen: 503 "overload" beside free targets, once a holder of a limit had not heard of the target for 3 s and the target's queue was longer than the caller waits.

Cause: such a target was made the only candidate, so that its expected time was compared with the caller's patience alone. Class: a preference that is applied as a filter. It is a preference of one second of expected time now. Without named limits nothing changes.

--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -44,8 +44,8 @@
 
 // filter drops the targets that cannot serve the request. Among the rest it
 // prefers healthy targets, then those that are not about to change their
-// weights, then those whose weights are recent enough, then those whose rate limit is
-// due to be observed. A preference is ignored if no candidate satisfies it.
+// weights, then those whose weights are recent enough. A preference is ignored
+// if no candidate satisfies it.
 func (b *Balancer) filter(now time.Duration, req *Request, targets []fleet.Target) ([]candidate, *Refusal) {
 	serving := b.servingTargets(req, targets)
 	if len(serving) == 0 {
@@ -75,7 +75,7 @@
 	if len(eligible) == 0 {
 		return nil, &Refusal{Reason: ReasonLoading, RetryAfter: loadingRetryDelay}
 	}
-	return preferCandidates(eligible, func(c *candidate) bool { return c.allowance.Due }), nil
+	return eligible, nil
 }
 
 // withinLimits returns the candidates whose rate limits allow a request now.
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -25,6 +25,9 @@
 	// limitedPreference is the preference for a target with a rate limit that allows a
 	// request. Otherwise this process's share of the limit might lapse unused.
 	limitedPreference = 50 * time.Millisecond
+	// duePreference replaces it if it has to be learned whether the target still names
+	// its limit.
+	duePreference = time.Second
 	// failurePenalty is the penalty of a target whose requests all fail; it is
 	// scaled by the failure rate.
 	failurePenalty = 1500 * time.Millisecond
@@ -99,7 +102,10 @@
 	if b.versionHistory(req.Model).Staleness(now, c.version) > staleWeightsGrace {
 		score += staleWeightsPenalty
 	}
-	if c.allowance.Limited {
+	switch {
+	case c.allowance.Due:
+		score -= duePreference
+	case c.allowance.Limited:
 		score -= limitedPreference
 	}
 	score += time.Duration(c.state.failureRate(now) * float64(failurePenalty))
