--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -9,7 +9,7 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// TestLimitedTargets answers the pattern of targets in need that name rate limits, beside
+// TestLimitedTargets answers the pattern of overloaded targets that name rate limits, beside
 // others that don't, and while all of them do.
 func TestLimitedTargets(t *testing.T) {
 	const perSecond = 1
--- a/test/soak/distress_test.go
+++ b/test/soak/crashes_test.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// distressCallersPerEntry is the number of callers for each entry process, and
-	// distressInterval the interval between the requests of each.
-	distressCallersPerEntry = 4
-	distressInterval        = 25 * time.Millisecond
+	// crashCallersPerEntry is the number of callers for each entry process, and
+	// crashCallerInterval the interval between the requests of each.
+	crashCallersPerEntry = 4
+	crashCallerInterval  = 25 * time.Millisecond
 	// crashingPart is a part of prompts that crashes targets; one request in
 	// crashingRequestInterval contains it.
 	crashingPart            = "dead"
@@ -37,8 +37,8 @@
 	minServedAtEnd = 20
 )
 
-// distressInjectors are the faults beside which targets crash and name limits.
-var distressInjectors = []faultInjector{
+// processAndStoreInjectors are the faults beside which targets crash and name limits.
+var processAndStoreInjectors = []faultInjector{
 	stopProcess, killProcess, pauseProcess, injectStoreLinkFault, injectStoreLinkFault, makeStoreUnavailable, loseStoreWatches,
 }
 
@@ -48,9 +48,9 @@
 	process int
 }
 
-// distress is a deployment with targets that crash on a part of prompts, one of which
+// crashingDeployment is a deployment with targets that crash on a part of prompts, one of which
 // names a limit. They are reached without links, so that a crashed one refuses connections.
-type distress struct {
+type crashingDeployment struct {
 	*deployment
 	limited *platformfake.Target
 	namedAt time.Time
@@ -64,8 +64,8 @@
 	requests int
 }
 
-func newDistress(t *testing.T, seed uint64) *distress {
-	d := &distress{deployment: newDeployment(t, seed, *entryCount, 1)}
+func newCrashingDeployment(t *testing.T, seed uint64) *crashingDeployment {
+	d := &crashingDeployment{deployment: newDeployment(t, seed, *entryCount, 1)}
 	// The deployment's own target doesn't crash, and must not serve requests.
 	d.targets[0].SetHandler(func(w http.ResponseWriter, _ *http.Request) { d.targets[0].RejectNotRun(w) })
 	d.store.Remove("servers/" + d.targets[0].ID)
@@ -86,7 +86,7 @@
 	return d
 }
 
-func (d *distress) startTarget() {
+func (d *crashingDeployment) startTarget() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ended {
@@ -99,7 +99,7 @@
 	d.started++
 }
 
-func (d *distress) serve(target *platformfake.Target, w http.ResponseWriter, r *http.Request) {
+func (d *crashingDeployment) serve(target *platformfake.Target, w http.ResponseWriter, r *http.Request) {
 	target.SetStamp(w)
 	if target == d.limited {
 		w.Header().Set(platformfake.HeaderLimit, fmt.Sprint(namedLimit))
@@ -125,7 +125,7 @@
 	})
 }
 
-func (d *distress) recordArrival(requestID string) {
+func (d *crashingDeployment) recordArrival(requestID string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	process := 0
@@ -136,7 +136,7 @@
 }
 
 // send sends a prompt to a process and returns the status, or 0 without a response.
-func (d *distress) send(process int, parts string) int {
+func (d *crashingDeployment) send(process int, parts string) int {
 	d.mu.Lock()
 	d.requests++
 	id := fmt.Sprintf("p%d-%d", process, d.requests)
@@ -165,7 +165,7 @@
 }
 
 // call sends requests to one process until done is closed.
-func (d *distress) call(process int, random *rand.Rand, done <-chan struct{}) {
+func (d *crashingDeployment) call(process int, random *rand.Rand, done <-chan struct{}) {
 	for {
 		parts := fmt.Sprintf("common:100,companion-%d:50", random.IntN(5))
 		if random.IntN(crashingRequestInterval) == 0 {
@@ -175,24 +175,24 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(distressInterval):
+		case <-time.After(crashCallerInterval):
 		}
 	}
 }
 
-// TestSoakDistressedTargets guards against targets that crash one after the other on one
+// TestSoakCrashesAndLimits guards against targets that crash one after the other on one
 // part of prompts, and targets that get more than the limit that they name, while processes
 // are killed, stopped and paused and the store fails.
-func TestSoakDistressedTargets(t *testing.T) {
+func TestSoakCrashesAndLimits(t *testing.T) {
 	runSeeds(t, nil, func(t *testing.T, seed uint64) {
-		d := newDistress(t, seed)
+		d := newCrashingDeployment(t, seed)
 		done := make(chan struct{})
 		var callers sync.WaitGroup
-		for i := range distressCallersPerEntry * *entryCount {
+		for i := range crashCallersPerEntry * *entryCount {
 			random := rand.New(rand.NewPCG(seed, uint64(100+i)))
 			callers.Go(func() { d.call(i%*entryCount, random, done) })
 		}
-		d.injectFaults(distressInjectors, rand.New(rand.NewPCG(seed, 1)), time.Now().Add(*faultDuration+contactBound))
+		d.injectFaults(processAndStoreInjectors, rand.New(rand.NewPCG(seed, 1)), time.Now().Add(*faultDuration+contactBound))
 		d.clearFaults()
 		time.Sleep(contactBound)
 		close(done)
@@ -204,7 +204,7 @@
 	})
 }
 
-func (d *distress) checkCrashes() {
+func (d *crashingDeployment) checkCrashes() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.crashes) < boundCrashes {
@@ -224,7 +224,7 @@
 
 // checkLimit counts the requests of the processes that had no fault within a window or
 // contactBound before it.
-func (d *distress) checkLimit() {
+func (d *crashingDeployment) checkLimit() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for last, end := range d.arrivals {
@@ -246,7 +246,7 @@
 
 // checkSound checks that sound requests are served at the end, also those with parts that
 // were beside the crashing one.
-func (d *distress) checkSound() {
+func (d *crashingDeployment) checkSound() {
 	for i := range minServedAtEnd {
 		parts := fmt.Sprintf("common:100,companion-%d:50", i%5)
 		if status := d.send(i%*entryCount, parts); status != http.StatusOK {
