Crashes: a process tells only what it observed itself

Cause: each process passed on what it learned of crashes for 3 s with every message. With 20 to 24 processes and 30 crashes the messages filled the links (bytes between data centres 0.15 -> 0.28 GB), peers fell silent, and processes kept to their even share of the rates. Besides, each single crash was written to the store (cloud calls 2455 -> 3109). Class: news whose volume grows with the square of the fleet.

TestNewsOfCrashes was red on the code before.

What changed: messages hold a process's own observations for 0.5 s and quarantined parts; crashes are written to the store from the second one of a part on. TestMissingFromStore asked for the first one; it now asks that one is not missing and two are.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -19,7 +19,7 @@
 const (
 	// leaderWriteDelay is the time after which the leader writes facts that the store
 	// lacks; it batches facts that arise together.
-	leaderWriteDelay = 50 * time.Millisecond
+	leaderWriteDelay = 200 * time.Millisecond
 	// isolatedWriteDelay is that time for a process that hears no peer, and
 	// followerWriteDelay for the others, which leave the write to the leader. Both are
 	// extended at random by up to their own length.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -46,8 +46,11 @@
 	maxProvenParts = 20_000
 	// maxStoredParts bounds the records that Snapshot returns.
 	maxStoredParts = 256
-	// newsTTL is the time for which News returns a changed record.
-	newsTTL = 3 * time.Second
+	// newsTTL is the time for which News returns what this process has observed.
+	newsTTL = 500 * time.Millisecond
+	// minStoredCrashes is the number of open crashes from which a part's crashes must
+	// be in the store.
+	minStoredCrashes = 2
 	// maxNewsCrashes bounds the crashes in the records that News returns.
 	maxNewsCrashes = 100
 )
@@ -97,6 +100,7 @@
 		crash := Crash{Target: target, UnixMS: now.UnixMilli()}
 		if t.add(now, part, crash) {
 			suspected = append(suspected, part)
+			t.parts[part].observedAt = now
 		}
 	}
 	if len(suspected) > 0 {
@@ -114,7 +118,7 @@
 		t.provenAt.Add(part, now)
 		state, ok := t.parts[part]
 		if ok && state.clear() {
-			state.changedAt = now
+			state.observedAt = now
 			cleared = append(cleared, part)
 		}
 	}
@@ -157,14 +161,16 @@
 	known, ok := state.crashes[crash.Target]
 	switch {
 	case !ok:
-		crash.Cleared = crash.Cleared || t.proven(now, part)
+		if !crash.Cleared && t.proven(now, part) {
+			crash.Cleared = true
+			state.observedAt = now
+		}
 		state.crashes[crash.Target] = &crash
 	case crash.Cleared && !known.Cleared:
 		known.Cleared = true
 	default:
 		return false
 	}
-	state.changedAt = now
 	return true
 }
 
@@ -248,15 +254,16 @@
 	return len(t.quarantined)
 }
 
-// News returns the quarantined parts and those that changed within newsTTL, for the
-// other processes. The most relevant ones come first.
+// News returns the quarantined parts and those of which this process has observed
+// something within newsTTL, for the other processes. What it learned from others is not
+// passed on, which bounds the messages. The most relevant parts come first.
 func (t *Table) News(now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var news []Record
 	for part, state := range t.parts {
 		_, quarantined := t.quarantined[part]
-		if quarantined || now.Sub(state.changedAt) <= newsTTL {
+		if quarantined || now.Sub(state.observedAt) <= newsTTL {
 			news = append(news, state.record(part))
 		}
 	}
@@ -282,20 +289,25 @@
 }
 
 // Missing reports whether the given records, merged into this table before, lack any
-// fact of Snapshot that matters to a process that knows nothing else: an open crash, or
-// that an open one of the records is cleared.
+// fact of Snapshot that matters to a process that knows nothing else: an open crash of a
+// part with minStoredCrashes of them, or that an open one of a part that has as many in
+// the records is cleared.
 func (t *Table) Missing(records []Record) bool {
 	held := make(map[string]map[fleet.Boot]bool, len(records))
+	heldOpen := make(map[string]int, len(records))
 	for i := range records {
+		heldOpen[records[i].Part] = records[i].openCrashes()
 		held[records[i].Part] = make(map[fleet.Boot]bool, len(records[i].Crashes))
 		for _, crash := range records[i].Crashes {
 			held[records[i].Part][crash.Target] = crash.Cleared
 		}
 	}
 	for _, record := range t.Snapshot() {
+		isSuspected := record.openCrashes() >= minStoredCrashes
+		isStored := heldOpen[record.Part] >= minStoredCrashes
 		for _, crash := range record.Crashes {
 			cleared, ok := held[record.Part][crash.Target]
-			if (!ok && !crash.Cleared) || (ok && crash.Cleared && !cleared) {
+			if (isSuspected && !ok && !crash.Cleared) || (isStored && ok && crash.Cleared && !cleared) {
 				return true
 			}
 		}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -149,6 +149,8 @@
 	Convey("Given a table with crashes", t, func() {
 		table := New()
 		table.RecordCrash(testStart, run(1), []string{"bad"})
+		So(table.Missing(nil), ShouldBeFalse)
+		table.RecordCrash(testStart, run(0), []string{"bad"})
 		So(table.Missing(nil), ShouldBeTrue)
 		stored := table.Snapshot()
 		So(table.Missing(stored), ShouldBeFalse)
@@ -163,3 +165,25 @@
 		})
 	})
 }
+
+// TestNewsOfCrashes answers the pattern of many crashes in a fleet of many processes: if
+// each passed on what it learned from the others, the messages would fill the links.
+func TestNewsOfCrashes(t *testing.T) {
+	Convey("Given a process that learned of a crash from another one", t, func() {
+		observer, other := New(), New()
+		observer.RecordCrash(testStart, run(1), []string{"rare"})
+		So(other.Merge(testStart, observer.News(testStart)), ShouldBeTrue)
+		Convey("it does not pass it on", func() {
+			So(other.News(testStart), ShouldBeEmpty)
+		})
+		Convey("it tells that it has cleared it", func() {
+			other.RecordCompleted(testStart, []string{"rare"})
+			So(observer.Merge(testStart, other.News(testStart)), ShouldBeTrue)
+			So(observer.Snapshot()[0].Crashes[0].Cleared, ShouldBeTrue)
+		})
+		Convey("the observer's message is about it for a short time only", func() {
+			So(observer.News(testStart.Add(newsTTL)), ShouldHaveLength, 1)
+			So(observer.News(testStart.Add(newsTTL+1)), ShouldBeEmpty)
+		})
+	})
+}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -53,8 +53,9 @@
 // partState is the state of a part with crashes.
 type partState struct {
 	crashes map[fleet.Boot]*Crash
-	// changedAt is the time of the latest change of the crashes.
-	changedAt time.Time
+	// observedAt is the time at which this process itself last observed a crash, or
+	// that the part did not cause the crashes.
+	observedAt time.Time
 }
 
 // open returns the runs of targets whose crashes are not cleared.
