Log what identifies a request that comes again; examine broken responses at all services

The logs could not tell whether two request IDs are the same request, nor whether a target of a plain service crashed.

A response that broke off is examined at every service: target_crashed or response_unexplained. Nothing is refused or suspected because of it.

--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -2,14 +2,14 @@
 
 // Entry process events.
 var (
-	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started. parts lists the parts of the prompt that other requests may share.",
-		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "import_from", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms", "parts"}}
+	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started. parts lists the parts of the prompt that other requests may share. fingerprint identifies account, method, path and body: a request that comes again has the same one.",
+		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "import_from", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms", "parts", "fingerprint"}}
 	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer, or this process ended it; ended_by is target, or this process's reason: target_silent, superseded by another attempt, caller_left, deadline or stopping. first_event_age_ms is the time since the target's first event of a stream, or -1 if it sent none.",
 		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "first_event_age_ms", "ended_by", "err"}}
 	AnswerDelivered = Event{902, "answer_delivered", "A target's complete answer was delivered to the caller.",
 		[]string{"request_id", "route", "account", "target", "status", "tries", "first_byte_ms", "total_ms"}}
-	CallerRefused = Event{903, "caller_refused", "A caller received a refusal or an error that the entry process produced; ran is false if the request has not run and never will. part is the quarantined part of the prompt, if any.",
-		[]string{"request_id", "route", "account", "status", "reason", "ran", "retry_after_ms", "tries", "total_ms", "config", "cost", "level", "part"}}
+	CallerRefused = Event{903, "caller_refused", "A caller received a refusal or an error that the entry process produced; ran is false if the request has not run and never will. part is the quarantined part of the prompt, if any. fingerprint is that of the request, empty if its body was not read.",
+		[]string{"request_id", "route", "account", "status", "reason", "ran", "retry_after_ms", "tries", "total_ms", "config", "cost", "level", "part", "fingerprint"}}
 	CallerBroken = Event{904, "caller_broken", "The connection to a caller was closed because the answer could not be completed.",
 		[]string{"request_id", "route", "target", "events", "total_ms", "err"}}
 	CallerLeft = Event{905, "caller_left", "A caller closed its connection before the answer was complete; the request was cancelled at the target.",
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -30,6 +30,14 @@
 	return len(q.sharedParts) > 0 && q.config.Services[q.service].HasEngines
 }
 
+// quarantineParts returns the parts of the prompt that may be suspected of a crash.
+func (q *request) quarantineParts() []string {
+	if !q.hasSharedPrompt() {
+		return nil
+	}
+	return q.sharedParts
+}
+
 // checkQuarantine returns a refusal if the request must not be sent to any target.
 func (q *request) checkQuarantine() *refusal {
 	if !q.hasSharedPrompt() {
@@ -45,11 +53,11 @@
 // reportCrashEvidence reports what an ended attempt shows of the parts of its prompt.
 func (q *request) reportCrashEvidence(a *attempt, result outcome) {
 	switch {
+	case result == failed && a.sent && a.endedBy == nil && a.firstEventAge(q.relay.Now()) < earlyCrashWindow:
+		q.relay.Quarantine.BrokenOff(q.meta.ID, a.choice.Target, q.quarantineParts())
 	case !q.hasSharedPrompt():
 	case result == completed && hasFraming(a.exchange.Response):
 		// A response that ends with its connection may have been cut by a crash.
 		q.relay.Quarantine.Completed(q.sharedParts)
-	case result == failed && a.sent && a.endedBy == nil && a.firstEventAge(q.relay.Now()) < earlyCrashWindow:
-		q.relay.Quarantine.BrokenOff(q.meta.ID, a.choice.Target, q.sharedParts)
 	}
 }
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -53,7 +53,7 @@
 	relay.Log.Log(eventlog.CallerRefused, "request_id", q.meta.ID, "route", q.route.Name, "account", q.accountName(),
 		"status", ref.status, "reason", ref.reason, "ran", ref.mayHaveRun, "retry_after_ms", ref.retryAfter.Milliseconds(),
 		"tries", q.attempts, "total_ms", (relay.Now() - q.startedAt).Milliseconds(), "config", q.configVersion(), "cost", int64(ref.cost), "level", int64(ref.tokensLeft),
-		"part", ref.part)
+		"part", ref.part, "fingerprint", q.fingerprint)
 	relay.instruments.countRefusal(ref.reason)
 	header := q.w.Header()
 	relay.Codec.SetRequestID(header, q.meta.ID)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -113,6 +113,8 @@
 	// sharedParts holds the identifiers of the prompt's parts that other requests may
 	// share.
 	sharedParts []string
+	// fingerprint identifies the request's content; empty until its body has been read.
+	fingerprint string
 	config      *fleet.Config
 	route       fleet.Route
 	account     *fleet.Account
@@ -182,6 +184,7 @@
 	if refusal := q.readBody(); refusal != nil {
 		return refusal
 	}
+	q.fingerprint = q.requestFingerprint()
 	q.service = q.chooseService()
 	return q.admit()
 }
