--- a/pkg/entry/crashes.go
+++ b/pkg/entry/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strings"
 	"syscall"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
 )
 
 const (
@@ -33,7 +33,7 @@
 type brokenResponse struct {
 	requestID string
 	target    fleet.Target
-	parts     []string
+	request   quarantine.Request
 }
 
 // probeResult is what a connection to a target has shown.
@@ -165,6 +165,3 @@
 	}
 	return false, err.Error()
 }
-
-// partList returns identifiers of parts for the log.
-func partList(parts []string) string { return strings.Join(parts, ",") }
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -11,7 +11,7 @@
 
 // news returns what every process should know, without the engines' updates.
 func (e *Entry) news(now time.Duration) gossip.News {
-	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), SuspectedParts: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now)}
+	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), Suspects: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now)}
 	e.balancer.AnnouncementAges(now, func(model string, version int64, age time.Duration) {
 		news.AnnouncedVersions = append(news.AnnouncedVersions, gossip.AnnouncedVersion{Model: model, Version: version, Age: age})
 	})
@@ -132,7 +132,7 @@
 		e.log.Log(eventlog.ConfigOverdue, "peer", sender, "version", news.ConfigVersion, "in_force", config.Version)
 	}
 	e.balancer.AvoidUnreachable(now, news.Unreachable)
-	e.quarantine.merge(news.SuspectedParts, sender)
+	e.quarantine.merge(news.Suspects, sender)
 	e.mergeLimits(now, news.Limits, sender)
 	for _, boot := range news.Leaving {
 		e.leaving.learn(now, boot, sender)
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,11 +37,12 @@
 // quarantineRecord is the value of the store's key that holds what the fleet knows of
 // crashes.
 type quarantineRecord struct {
-	Parts []quarantine.Record `json:"parts"`
+	// Suspects has this name for records from before requests were suspected.
+	Suspects []quarantine.Record `json:"parts"`
 }
 
-// quarantineKeeper shares what this process and its peers know of parts of prompts that
-// crash targets. It implements relay.Quarantine.
+// quarantineKeeper shares what this process and its peers know of requests and parts of
+// prompts that crash targets. It implements relay.Quarantine.
 type quarantineKeeper struct {
 	entry    *Entry
 	table    *quarantine.Table
@@ -59,28 +61,41 @@
 }
 
 // Check implements relay.Quarantine.
-func (k *quarantineKeeper) Check(parts []string) string { return k.table.Check(parts) }
+func (k *quarantineKeeper) Check(request quarantine.Request) (quarantine.Suspect, bool) {
+	return k.table.Check(request)
+}
+
+// IsSuspected implements relay.Quarantine.
+func (k *quarantineKeeper) IsSuspected(request quarantine.Request) bool {
+	return k.table.IsSuspected(request)
+}
 
 // Completed implements relay.Quarantine.
-func (k *quarantineKeeper) Completed(parts []string) {
-	cleared := k.table.RecordCompleted(time.Now(), parts)
+func (k *quarantineKeeper) Completed(request quarantine.Request) {
+	cleared := k.table.RecordCompleted(time.Now(), request)
 	if len(cleared) == 0 {
 		return
 	}
-	k.entry.log.Log(eventlog.PartsCleared, "parts", partList(cleared))
+	if fingerprint := fingerprintOf(cleared); fingerprint != "" {
+		k.entry.log.Log(eventlog.RequestCleared, "fingerprint", fingerprint)
+	}
+	if parts := partList(cleared); parts != "" {
+		k.entry.log.Log(eventlog.PartsCleared, "parts", parts)
+	}
 	k.applyChange(sourceSelf)
 }
 
 // BrokenOff implements relay.Quarantine.
-func (k *quarantineKeeper) BrokenOff(requestID string, target fleet.Target, parts []string) {
-	k.detector.report(brokenResponse{requestID: requestID, target: target, parts: parts})
+func (k *quarantineKeeper) BrokenOff(requestID string, target fleet.Target, request quarantine.Request) {
+	k.detector.report(brokenResponse{requestID: requestID, target: target, request: request})
 }
 
 // recordCrash records that a target crashed under a request, and tells all processes.
 func (k *quarantineKeeper) recordCrash(response *brokenResponse) {
 	target := &response.target
-	suspected := k.table.RecordCrash(time.Now(), target.Boot(), response.parts)
-	k.entry.log.Log(eventlog.TargetCrashed, "request_id", response.requestID, "target", target.ID, "born", target.StartUnixMS, "parts", partList(suspected))
+	suspected := k.table.RecordCrash(time.Now(), target.Boot(), response.request)
+	k.entry.log.Log(eventlog.TargetCrashed, "request_id", response.requestID, "target", target.ID, "born", target.StartUnixMS,
+		"fingerprint", fingerprintOf(suspected), "parts", partList(suspected))
 	k.entry.metrics.Scope.Counter("requests_under_crashes").Inc(1)
 	if len(suspected) == 0 {
 		return
@@ -109,15 +124,48 @@
 }
 
 func (k *quarantineKeeper) logTransitions(source string) {
-	k.entry.metrics.Scope.Gauge("quarantined_parts").Update(float64(k.table.QuarantinedParts()))
+	requests, parts := k.table.Quarantined()
+	k.entry.metrics.Scope.Gauge("quarantined_requests").Update(float64(requests))
+	k.entry.metrics.Scope.Gauge("quarantined_parts").Update(float64(parts))
 	for _, transition := range k.table.TakeTransitions() {
-		if !transition.Quarantined {
-			k.entry.log.Log(eventlog.PartReleased, "part", transition.Part, "source", source)
-			continue
-		}
-		k.entry.log.Log(eventlog.PartQuarantined, "part", transition.Part, "crashes", transition.Crashes,
+		k.logTransition(&transition, source)
+	}
+}
+
+func (k *quarantineKeeper) logTransition(transition *quarantine.Transition, source string) {
+	log := k.entry.log
+	switch {
+	case transition.Request != "" && transition.Quarantined:
+		log.Log(eventlog.RequestQuarantined, "fingerprint", transition.Request, "crashes", transition.Crashes, "source", source)
+	case transition.Request != "":
+		log.Log(eventlog.RequestReleased, "fingerprint", transition.Request, "source", source)
+	case transition.Quarantined:
+		log.Log(eventlog.PartQuarantined, "part", transition.Part, "crashes", transition.Crashes,
 			"companions", partList(transition.Companions), "source", source)
+	default:
+		log.Log(eventlog.PartReleased, "part", transition.Part, "source", source)
+	}
+}
+
+// fingerprintOf returns the fingerprint among suspects of one request, or "".
+func fingerprintOf(suspects []quarantine.Suspect) string {
+	for _, suspect := range suspects {
+		if suspect.Request != "" {
+			return suspect.Request
+		}
+	}
+	return ""
+}
+
+// partList returns the parts among suspects for the log.
+func partList(suspects []quarantine.Suspect) string {
+	var parts []string
+	for _, suspect := range suspects {
+		if suspect.Part != "" {
+			parts = append(parts, suspect.Part)
+		}
 	}
+	return strings.Join(parts, ",")
 }
 
 func (k *quarantineKeeper) requestWrite() {
@@ -138,8 +186,8 @@
 			record = quarantineRecord{}
 		}
 	}
-	k.setStored(record.Parts, revision)
-	k.merge(record.Parts, sourceStore)
+	k.setStored(record.Suspects, revision)
+	k.merge(record.Suspects, sourceStore)
 	k.requestWrite()
 }
 
@@ -193,7 +241,7 @@
 	}
 	_, revision := k.storedRecords()
 	snapshot := k.table.Snapshot()
-	value, err := json.Marshal(quarantineRecord{Parts: snapshot})
+	value, err := json.Marshal(quarantineRecord{Suspects: snapshot})
 	if err != nil {
 		panic(errors.Annotate(err, "encoding crashes"))
 	}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -50,8 +50,8 @@
 	// Unreachable holds the runs of targets to which the process has recently
 	// failed to connect, or whose address another target uses now.
 	Unreachable []fleet.Boot
-	// SuspectedParts holds the parts of prompts under which targets have crashed.
-	SuspectedParts []quarantine.Record
+	// Suspects holds the requests and parts of prompts under which targets have crashed.
+	Suspects []quarantine.Record
 	// Limits holds the newest observations of the limits that targets name.
 	Limits []targetlimit.Observation
 	// FencingToken is the fencing token of the leader, which sends load orders to
@@ -106,7 +106,7 @@
 	}
 	state.Leaving = encodeBoots(m.Leaving)
 	state.Unreachable = encodeBoots(m.Unreachable)
-	state.SuspectedParts = encodeSuspectedParts(m.SuspectedParts)
+	state.Suspects = encodeSuspects(m.Suspects)
 	state.Limits = encodeLimits(m.Limits)
 	for account, usage := range m.Usage {
 		state.Usage = append(state.Usage, &gossippb.Usage{
@@ -181,23 +181,23 @@
 	return observations
 }
 
-func encodeSuspectedParts(records []quarantine.Record) []*gossippb.SuspectedPart {
-	var parts []*gossippb.SuspectedPart
+func encodeSuspects(records []quarantine.Record) []*gossippb.Suspect {
+	var suspects []*gossippb.Suspect
 	for i := range records {
-		part := &gossippb.SuspectedPart{Part: records[i].Part}
+		suspect := &gossippb.Suspect{Part: records[i].Part, Request: records[i].Request}
 		for _, crash := range records[i].Crashes {
-			part.Crashes = append(part.Crashes, &gossippb.Crash{Target: encodeBoot(crash.Target), CrashedUnixMs: crash.UnixMS, Cleared: crash.Cleared})
+			suspect.Crashes = append(suspect.Crashes, &gossippb.Crash{Target: encodeBoot(crash.Target), CrashedUnixMs: crash.UnixMS, Cleared: crash.Cleared})
 		}
-		parts = append(parts, part)
+		suspects = append(suspects, suspect)
 	}
-	return parts
+	return suspects
 }
 
-func decodeSuspectedParts(parts []*gossippb.SuspectedPart) []quarantine.Record {
+func decodeSuspects(suspects []*gossippb.Suspect) []quarantine.Record {
 	var records []quarantine.Record
-	for _, part := range parts {
-		record := quarantine.Record{Part: part.GetPart()}
-		for _, crash := range part.GetCrashes() {
+	for _, suspect := range suspects {
+		record := quarantine.Record{Suspect: quarantine.Suspect{Part: suspect.GetPart(), Request: suspect.GetRequest()}}
+		for _, crash := range suspect.GetCrashes() {
 			record.Crashes = append(record.Crashes, quarantine.Crash{Target: decodeBoot(crash.GetTarget()), UnixMS: crash.GetCrashedUnixMs(), Cleared: crash.GetCleared()})
 		}
 		records = append(records, record)
@@ -230,7 +230,7 @@
 	}
 	m.Leaving = decodeBoots(state.GetLeaving())
 	m.Unreachable = decodeBoots(state.GetUnreachable())
-	m.SuspectedParts = decodeSuspectedParts(state.GetSuspectedParts())
+	m.Suspects = decodeSuspects(state.GetSuspects())
 	m.Limits = decodeLimits(state.GetLimits())
 	for _, u := range state.GetUsage() {
 		m.Usage[u.GetAccount()] = tokenrate.Usage{Admitted: float64(u.GetAdmitted()), Level: float64(u.GetLevel())}
--- /dev/null
+++ b/pkg/quarantine/oracle_test.go
@@ -0,0 +1,85 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+// fact is that a run of a target crashed under a suspect.
+type fact struct {
+	suspect Suspect
+	target  fleet.Boot
+}
+
+// knowledge is the oracle's state of a process: each known fact, and whether it is
+// cleared. It has no bounds.
+type knowledge struct {
+	facts  map[fact]bool
+	proven map[Suspect]bool
+}
+
+func newKnowledge() *knowledge {
+	return &knowledge{facts: map[fact]bool{}, proven: map[Suspect]bool{}}
+}
+
+func (k *knowledge) learn(f fact, cleared bool) {
+	k.facts[f] = k.facts[f] || cleared || (!k.has(f) && k.proven[f.suspect])
+}
+
+func (k *knowledge) has(f fact) bool {
+	_, ok := k.facts[f]
+	return ok
+}
+
+func (k *knowledge) merge(facts map[fact]bool) {
+	for f, cleared := range facts {
+		k.learn(f, cleared)
+	}
+}
+
+// open returns the targets that crashed under a suspect, without the cleared crashes.
+func (k *knowledge) open(suspect Suspect) map[fleet.Boot]bool {
+	targets := map[fleet.Boot]bool{}
+	for f, cleared := range k.facts {
+		if f.suspect == suspect && !cleared {
+			targets[f.target] = true
+		}
+	}
+	return targets
+}
+
+// without returns the number of targets that crashed under one suspect and not under
+// another one.
+func (k *knowledge) without(suspect, other Suspect) int {
+	others := k.open(other)
+	count := 0
+	for target := range k.open(suspect) {
+		if !others[target] {
+			count++
+		}
+	}
+	return count
+}
+
+// isSuspected applies the definition to a suspect: it has enough crashes.
+func (k *knowledge) isSuspected(suspect Suspect) bool {
+	return len(k.open(suspect)) >= minCrashes
+}
+
+// refuses applies the definition to a request: it is suspected itself, or one of its parts
+// is, and each other suspected part that explains the crashes is in the request too.
+func (k *knowledge) refuses(request Request) bool {
+	if request.Fingerprint != "" && k.isSuspected(Suspect{Request: request.Fingerprint}) {
+		return true
+	}
+	return slices.ContainsFunc(request.Parts, func(part string) bool {
+		if !k.isSuspected(Suspect{Part: part}) {
+			return false
+		}
+		return !slices.ContainsFunc(allParts, func(other string) bool {
+			isOutside := other != part && !slices.Contains(request.Parts, other)
+			return isOutside && k.isSuspected(Suspect{Part: other}) && k.without(Suspect{Part: part}, Suspect{Part: other}) < minSeparateCrashes
+		})
+	})
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,12 +1,13 @@
-// Package quarantine finds the part of prompts that crashes targets, and tells which
-// requests must not be sent to any target because of it.
+// Package quarantine finds what crashes targets, and tells which requests must not be sent
+// to any target because of it: requests that come again with the same content, or all
+// requests whose prompts have a certain part.
 //
-// Processes report the crash of a target for each part of the requests whose responses
-// it had not begun to write, or had just begun. A completed response clears the parts
-// of its request, since a part that crashes targets never gets one. What processes know
-// is a set of facts that only grows (a crash of a run of a target under a part, and that
-// it is cleared), so that the states of processes can be merged in any order and any
-// number of times.
+// Processes report the crash of a target for each request whose response it had not begun
+// to write, or had just begun, and for each shared part of the request's prompt. A completed
+// response clears its request and the parts, since what crashes targets never gets one.
+// What processes know is a set of facts that only grows (a crash of a run of a target under
+// a suspect, and that it is cleared), so that the states of processes can be merged in any
+// order and any number of times.
 //
 // The package is independent of the transport and of the store.
 package quarantine
@@ -22,33 +23,33 @@
 )
 
 const (
-	// minCrashes is the number of runs of targets that must have crashed under a part
+	// minCrashes is the number of runs of targets that must have crashed under a suspect
 	// before it is quarantined.
 	minCrashes = 3
-	// minSeparateCrashes is the number of crashes under one of two parts alone that
+	// minSeparateCrashes is the number of crashes under one of two suspects alone that
 	// tell it apart from the other one.
 	minSeparateCrashes = 2
-	// provenTTL is the time after a completed response for which its parts are not
-	// suspected.
+	// provenTTL is the time after a completed response for which its request and parts
+	// are not suspected.
 	provenTTL = 15 * time.Second
 	// crashTTL is the time for which a crash counts. It is also the duration of a
 	// quarantine without further crashes.
 	crashTTL = 30 * time.Minute
-	// maxParts and maxCrashesPerPart bound the crashes that are remembered.
-	maxParts          = 1024
-	maxCrashesPerPart = 32
-	// maxSuspects bounds the parts that are compared with each other, in order to
+	// maxSuspects and maxCrashesPerSuspect bound the crashes that are remembered.
+	maxSuspects          = 1024
+	maxCrashesPerSuspect = 32
+	// evictedSuspects is the number of suspects that are dropped at a time.
+	evictedSuspects = maxSuspects / 16
+	// maxComparedParts bounds the parts that are compared with each other, in order to
 	// bound the time of an update.
-	maxSuspects = 64
-	// maxPartBytes is the length above which a part's identifier is replaced by a hash.
-	maxPartBytes = 64
-	// maxProvenParts bounds the parts whose completed responses are remembered.
-	maxProvenParts = 20_000
-	// maxStoredParts bounds the records that Snapshot returns.
-	maxStoredParts = 256
+	maxComparedParts = 64
+	// maxProven bounds the requests and parts whose completed responses are remembered.
+	maxProven = 20_000
+	// maxStored bounds the records that Snapshot returns.
+	maxStored = 256
 	// newsTTL is the time for which News returns what this process has observed.
 	newsTTL = 500 * time.Millisecond
-	// minStoredCrashes is the number of open crashes from which a part's crashes must
+	// minStoredCrashes is the number of open crashes from which a suspect's crashes must
 	// be in the store.
 	minStoredCrashes = 2
 	// maxNewsCrashes bounds the crashes in the records that News returns.
@@ -57,73 +58,73 @@
 
 // Transition is the begin or the end of a quarantine.
 type Transition struct {
-	Part string
+	Suspect
 	// Quarantined is false if the quarantine has ended.
 	Quarantined bool
 	// Crashes is the number of crashes that are not cleared.
 	Crashes int
-	// Companions holds the parts that can't be told apart from Part yet. Only requests
+	// Companions holds the parts that can't be told apart from a part yet. Only requests
 	// that contain all of them are refused.
-	Companions []string
+	Companions []Suspect
 }
 
 // Table holds what a process knows of crashes. It is safe for concurrent use.
 type Table struct {
-	mu    sync.Mutex
-	parts map[string]*partState
-	// provenAt holds the times of the latest completed responses by part.
-	provenAt *lru.Cache[string, time.Time]
-	// quarantined holds the quarantined parts with their companions.
-	quarantined map[string][]string
+	mu     sync.Mutex
+	states map[Suspect]*suspectState
+	// provenAt holds the times of the latest completed responses.
+	provenAt *lru.Cache[Suspect, time.Time]
+	// quarantined holds the quarantined suspects with their companions.
+	quarantined map[Suspect][]Suspect
 	transitions []Transition
 }
 
 // New returns an empty Table.
 func New() *Table {
-	provenAt, err := lru.New[string, time.Time](maxProvenParts)
+	provenAt, err := lru.New[Suspect, time.Time](maxProven)
 	if err != nil {
 		panic(err)
 	}
-	return &Table{parts: map[string]*partState{}, provenAt: provenAt, quarantined: map[string][]string{}}
+	return &Table{states: map[Suspect]*suspectState{}, provenAt: provenAt, quarantined: map[Suspect][]Suspect{}}
 }
 
-// RecordCrash records that a run of a target crashed under a request with the given
-// parts. It returns the parts that are suspected: all but those that have recently been
-// part of a completed response.
-func (t *Table) RecordCrash(now time.Time, target fleet.Boot, parts []string) (suspected []string) {
+// RecordCrash records that a run of a target crashed under a request. It returns what is
+// suspected: the request and the parts of its prompt, without those that have recently
+// been in a completed response.
+func (t *Table) RecordCrash(now time.Time, target fleet.Boot, request Request) (suspected []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range keys(parts) {
-		if t.proven(now, part) {
+	for _, suspect := range request.suspects() {
+		if t.proven(now, suspect) {
 			continue
 		}
 		crash := Crash{Target: target, UnixMS: now.UnixMilli()}
-		if t.add(now, part, crash) {
-			suspected = append(suspected, part)
-			t.parts[part].observedAt = now
+		if t.add(now, suspect, crash) {
+			suspected = append(suspected, suspect)
+			t.states[suspect].observedAt = now
 		}
 	}
 	if len(suspected) > 0 {
-		t.update(now)
+		t.update()
 	}
 	return suspected
 }
 
-// RecordCompleted records that a target completed a response to a request with the
-// given parts, which clears them. It returns the parts that were suspected.
-func (t *Table) RecordCompleted(now time.Time, parts []string) (cleared []string) {
+// RecordCompleted records that a target completed a response to a request, which clears
+// the request and the parts of its prompt. It returns what was suspected.
+func (t *Table) RecordCompleted(now time.Time, request Request) (cleared []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range keys(parts) {
-		t.provenAt.Add(part, now)
-		state, ok := t.parts[part]
-		if ok && state.clear() {
+	for _, suspect := range request.suspects() {
+		t.provenAt.Add(suspect, now)
+		state, ok := t.states[suspect]
+		if ok && state.clearAll() {
 			state.observedAt = now
-			cleared = append(cleared, part)
+			cleared = append(cleared, suspect)
 		}
 	}
 	if len(cleared) > 0 {
-		t.update(now)
+		t.update()
 	}
 	return cleared
 }
@@ -136,48 +137,49 @@
 	changed := false
 	for i := range records {
 		for _, crash := range records[i].Crashes {
-			changed = t.add(now, records[i].Part, crash) || changed
+			changed = t.add(now, records[i].Suspect, crash) || changed
 		}
 	}
 	if changed {
-		t.update(now)
+		t.update()
 	}
 	return changed
 }
 
 // add adds a crash, or clears a known one, and reports whether that changed anything.
 // The caller must hold t.mu and call update.
-func (t *Table) add(now time.Time, part string, crash Crash) bool {
+func (t *Table) add(now time.Time, suspect Suspect, crash Crash) bool {
 	// The clock of the process that reported the crash may be ahead.
 	crash.UnixMS = min(crash.UnixMS, now.UnixMilli())
-	if part == "" || crash.UnixMS < now.Add(-crashTTL).UnixMilli() {
+	if !suspect.isValid() || crash.UnixMS < now.Add(-crashTTL).UnixMilli() {
 		return false
 	}
-	state, ok := t.parts[part]
+	state, ok := t.states[suspect]
 	if !ok {
-		state = &partState{crashes: map[fleet.Boot]*Crash{}}
-		t.parts[part] = state
+		state = &suspectState{crashes: map[fleet.Boot]*Crash{}}
+		t.states[suspect] = state
 	}
 	known, ok := state.crashes[crash.Target]
 	switch {
 	case !ok:
-		if !crash.Cleared && t.proven(now, part) {
+		if !crash.Cleared && t.proven(now, suspect) {
 			crash.Cleared = true
 			state.observedAt = now
 		}
-		state.crashes[crash.Target] = &crash
+		state.add(crash)
+		state.limit()
 	case crash.Cleared && !known.Cleared:
-		known.Cleared = true
+		state.clear(known)
 	default:
 		return false
 	}
 	return true
 }
 
-// proven reports whether a part has recently been in a completed response. The caller
+// proven reports whether a suspect has recently been in a completed response. The caller
 // must hold t.mu.
-func (t *Table) proven(now time.Time, part string) bool {
-	at, ok := t.provenAt.Peek(part)
+func (t *Table) proven(now time.Time, suspect Suspect) bool {
+	at, ok := t.provenAt.Peek(suspect)
 	return ok && now.Sub(at) <= provenTTL
 }
 
@@ -185,55 +187,55 @@
 func (t *Table) Expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.update(now)
-}
-
-// update drops what exceeds the bounds and derives the quarantined parts. The caller
-// must hold t.mu.
-func (t *Table) update(now time.Time) {
-	for part, state := range t.parts {
+	for suspect, state := range t.states {
 		state.expire(now.Add(-crashTTL).UnixMilli())
 		if len(state.crashes) == 0 {
-			delete(t.parts, part)
+			delete(t.states, suspect)
 		}
 	}
+	t.update()
+}
+
+// update drops what exceeds the bounds and derives the quarantined suspects. The caller
+// must hold t.mu.
+func (t *Table) update() {
 	t.evict()
 	previous := t.quarantined
 	t.quarantined = t.derive()
 	t.recordTransitions(previous)
 }
 
-// evict drops the parts with the fewest open crashes, the oldest first, above maxParts.
+// evict drops the suspects with the fewest open crashes, the oldest first, once there are
+// more than maxSuspects.
 func (t *Table) evict() {
-	excess := len(t.parts) - maxParts
-	if excess <= 0 {
+	if len(t.states) <= maxSuspects {
 		return
 	}
 	records := t.records()
 	slices.SortFunc(records, compareRelevance)
-	for i := range records[maxParts:] {
-		delete(t.parts, records[maxParts+i].Part)
+	for i := range records[maxSuspects-evictedSuspects:] {
+		delete(t.states, records[maxSuspects-evictedSuspects+i].Suspect)
 	}
 }
 
 func (t *Table) records() []Record {
-	records := make([]Record, 0, len(t.parts))
-	for part, state := range t.parts {
-		records = append(records, state.record(part))
+	records := make([]Record, 0, len(t.states))
+	for suspect, state := range t.states {
+		records = append(records, state.record(suspect))
 	}
 	return records
 }
 
-func (t *Table) recordTransitions(previous map[string][]string) {
-	for part, companions := range t.quarantined {
-		before, ok := previous[part]
+func (t *Table) recordTransitions(previous map[Suspect][]Suspect) {
+	for suspect, companions := range t.quarantined {
+		before, ok := previous[suspect]
 		if !ok || !slices.Equal(before, companions) {
-			t.transitions = append(t.transitions, Transition{Part: part, Quarantined: true, Crashes: len(t.parts[part].open()), Companions: companions})
+			t.transitions = append(t.transitions, Transition{Suspect: suspect, Quarantined: true, Crashes: t.states[suspect].openCount, Companions: companions})
 		}
 	}
-	for part := range previous {
-		if _, ok := t.quarantined[part]; !ok {
-			t.transitions = append(t.transitions, Transition{Part: part})
+	for suspect := range previous {
+		if _, ok := t.quarantined[suspect]; !ok {
+			t.transitions = append(t.transitions, Transition{Suspect: suspect})
 		}
 	}
 }
@@ -247,24 +249,29 @@
 	return transitions
 }
 
-// QuarantinedParts returns the number of quarantined parts.
-func (t *Table) QuarantinedParts() int {
+// Quarantined returns the numbers of quarantined requests and parts.
+func (t *Table) Quarantined() (requests, parts int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.quarantined)
+	for suspect := range t.quarantined {
+		if suspect.Request != "" {
+			requests++
+		}
+	}
+	return requests, len(t.quarantined) - requests
 }
 
-// News returns the quarantined parts and those of which this process has observed
+// News returns the quarantined suspects and those of which this process has observed
 // something within newsTTL, for the other processes. What it learned from others is not
-// passed on, which bounds the messages. The most relevant parts come first.
+// passed on, which bounds the messages. The most relevant suspects come first.
 func (t *Table) News(now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var news []Record
-	for part, state := range t.parts {
-		_, quarantined := t.quarantined[part]
+	for suspect, state := range t.states {
+		_, quarantined := t.quarantined[suspect]
 		if quarantined || now.Sub(state.observedAt) <= newsTTL {
-			news = append(news, state.record(part))
+			news = append(news, state.record(suspect))
 		}
 	}
 	slices.SortFunc(news, compareRelevance)
@@ -285,28 +292,29 @@
 	defer t.mu.Unlock()
 	records := t.records()
 	slices.SortFunc(records, compareRelevance)
-	return records[:min(maxStoredParts, len(records))]
+	return records[:min(maxStored, len(records))]
 }
 
 // Missing reports whether the given records, merged into this table before, lack any
 // fact of Snapshot that matters to a process that knows nothing else: an open crash of a
-// part with minStoredCrashes of them, or that an open one of a part that has as many in
-// the records is cleared.
+// suspect with minStoredCrashes of them, or that an open one of a suspect that has as many
+// in the records is cleared.
 func (t *Table) Missing(records []Record) bool {
-	held := make(map[string]map[fleet.Boot]bool, len(records))
-	heldOpen := make(map[string]int, len(records))
+	held := make(map[Suspect]map[fleet.Boot]bool, len(records))
+	heldOpen := make(map[Suspect]int, len(records))
 	for i := range records {
-		heldOpen[records[i].Part] = records[i].openCrashes()
-		held[records[i].Part] = make(map[fleet.Boot]bool, len(records[i].Crashes))
+		suspect := records[i].Suspect
+		heldOpen[suspect] = records[i].openCrashes()
+		held[suspect] = make(map[fleet.Boot]bool, len(records[i].Crashes))
 		for _, crash := range records[i].Crashes {
-			held[records[i].Part][crash.Target] = crash.Cleared
+			held[suspect][crash.Target] = crash.Cleared
 		}
 	}
 	for _, record := range t.Snapshot() {
 		isSuspected := record.openCrashes() >= minStoredCrashes
-		isStored := heldOpen[record.Part] >= minStoredCrashes
+		isStored := heldOpen[record.Suspect] >= minStoredCrashes
 		for _, crash := range record.Crashes {
-			cleared, ok := held[record.Part][crash.Target]
+			cleared, ok := held[record.Suspect][crash.Target]
 			if (isSuspected && !ok && !crash.Cleared) || (isStored && ok && crash.Cleared && !cleared) {
 				return true
 			}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -16,53 +16,63 @@
 // run returns the n-th run of a target.
 func run(n int) fleet.Boot { return fleet.Boot{ID: fmt.Sprint("target-", n), StartUnixMS: int64(n)} }
 
+// prompt returns a request that is known by the parts of its prompt only.
+func prompt(parts ...string) Request { return Request{Parts: parts} }
+
+// check returns the identifier of the suspect because of which a request with the given
+// parts is refused, or "".
+func check(table *Table, parts ...string) string {
+	suspect, _ := table.Check(prompt(parts...))
+	return suspect.Part
+}
+
 func TestQuarantine(t *testing.T) {
 	Convey("Given a table", t, func() {
 		table := New()
 		now := testStart
 		crash := func(numbers []int, parts ...string) {
 			for _, n := range numbers {
-				table.RecordCrash(now, run(n), parts)
+				table.RecordCrash(now, run(n), prompt(parts...))
 				now = now.Add(100 * time.Millisecond)
 			}
 		}
 		Convey("a part is quarantined once three runs of targets have crashed under it", func() {
 			crash([]int{1, 2}, "bad")
-			So(table.Check([]string{"bad"}), ShouldBeEmpty)
+			So(check(table, "bad"), ShouldBeEmpty)
 			crash([]int{2}, "bad")
-			So(table.Check([]string{"bad"}), ShouldBeEmpty)
+			So(check(table, "bad"), ShouldBeEmpty)
 			crash([]int{3}, "bad")
-			So(table.Check([]string{"common", "bad"}), ShouldEqual, "bad")
-			So(table.Check([]string{"common"}), ShouldBeEmpty)
-			So(table.TakeTransitions(), ShouldResemble, []Transition{{Part: "bad", Quarantined: true, Crashes: 3}})
+			So(check(table, "common", "bad"), ShouldEqual, "bad")
+			So(check(table, "common"), ShouldBeEmpty)
+			So(table.TakeTransitions(), ShouldResemble, []Transition{{Suspect: Suspect{Part: "bad"}, Quarantined: true, Crashes: 3}})
 		})
 		Convey("a completed response clears its parts, before and after the crashes", func() {
-			table.RecordCompleted(now, []string{"common"})
+			table.RecordCompleted(now, prompt("common"))
 			crash([]int{1, 2, 3}, "common", "rare", "bad")
-			So(table.Check([]string{"common"}), ShouldBeEmpty)
-			So(table.RecordCompleted(now, []string{"common", "rare"}), ShouldResemble, []string{"rare"})
-			So(table.Check([]string{"common", "rare"}), ShouldBeEmpty)
-			So(table.Check([]string{"bad"}), ShouldEqual, "bad")
+			So(check(table, "common"), ShouldBeEmpty)
+			So(table.RecordCompleted(now, prompt("common", "rare")), ShouldResemble, []Suspect{{Part: "rare"}})
+			So(check(table, "common", "rare"), ShouldBeEmpty)
+			So(check(table, "bad"), ShouldEqual, "bad")
 		})
 		Convey("a response that was completed long ago doesn't clear later crashes", func() {
-			table.RecordCompleted(now, []string{"bad"})
+			table.RecordCompleted(now, prompt("bad"))
 			now = now.Add(provenTTL + time.Second)
 			crash([]int{1, 2, 3}, "bad")
-			So(table.Check([]string{"bad"}), ShouldEqual, "bad")
+			So(check(table, "bad"), ShouldEqual, "bad")
 		})
 		Convey("of two parts that always occur together, only both are refused", func() {
 			crash([]int{1, 2, 3}, "companion", "bad")
-			So(table.Check([]string{"companion", "bad"}), ShouldNotBeEmpty)
-			So(table.Check([]string{"companion"}), ShouldBeEmpty)
-			So(table.Check([]string{"bad"}), ShouldBeEmpty)
+			So(check(table, "companion", "bad"), ShouldNotBeEmpty)
+			So(check(table, "companion"), ShouldBeEmpty)
+			So(check(table, "bad"), ShouldBeEmpty)
 			Convey("until two crashes without the other one tell them apart", func() {
 				crash([]int{4, 5}, "bad")
-				So(table.Check([]string{"bad"}), ShouldEqual, "bad")
-				So(table.Check([]string{"companion"}), ShouldBeEmpty)
+				So(check(table, "bad"), ShouldEqual, "bad")
+				So(check(table, "companion"), ShouldBeEmpty)
 			})
 			Convey("until a completed response clears one of them", func() {
-				table.RecordCompleted(now, []string{"companion"})
-				So(table.Check([]string{"bad"}), ShouldEqual, "bad")
+				table.RecordCompleted(now, prompt("companion"))
+				So(check(table, "bad"), ShouldEqual, "bad")
 			})
 		})
 		Convey("a sound part that was there at some of the crashes is not refused", func() {
@@ -73,27 +83,27 @@
 				}
 				crash([]int{n}, parts...)
 			}
-			So(table.Check([]string{"bystander"}), ShouldBeEmpty)
-			So(table.Check([]string{"bad"}), ShouldEqual, "bad")
+			So(check(table, "bystander"), ShouldBeEmpty)
+			So(check(table, "bad"), ShouldEqual, "bad")
 		})
 		Convey("a quarantine ends when its crashes have expired", func() {
 			crash([]int{1, 2, 3}, "bad")
 			table.TakeTransitions()
 			table.Expire(now.Add(crashTTL))
-			So(table.Check([]string{"bad"}), ShouldBeEmpty)
-			So(table.TakeTransitions(), ShouldResemble, []Transition{{Part: "bad"}})
+			So(check(table, "bad"), ShouldBeEmpty)
+			So(table.TakeTransitions(), ShouldResemble, []Transition{{Suspect: Suspect{Part: "bad"}}})
 			So(table.Snapshot(), ShouldBeEmpty)
 		})
 		Convey("a crash of a clock that is ahead counts from now", func() {
-			ahead := Record{Part: "bad", Crashes: []Crash{{Target: run(1), UnixMS: now.Add(48 * time.Hour).UnixMilli()}}}
+			ahead := Record{Suspect: Suspect{Part: "bad"}, Crashes: []Crash{{Target: run(1), UnixMS: now.Add(48 * time.Hour).UnixMilli()}}}
 			table.Merge(now, []Record{ahead})
 			So(table.Snapshot()[0].Crashes[0].UnixMS, ShouldEqual, now.UnixMilli())
 		})
 		Convey("long identifiers are remembered by a hash", func() {
 			long := strings.Repeat("x", 10_000)
 			crash([]int{1, 2, 3}, long)
-			So(len(table.Check([]string{long})), ShouldBeBetween, 1, maxPartBytes)
-			So(table.Check([]string{long + "x"}), ShouldBeEmpty)
+			So(len(check(table, long)), ShouldBeBetween, 1, maxIDBytes)
+			So(check(table, long+"x"), ShouldBeEmpty)
 		})
 	})
 }
@@ -105,16 +115,16 @@
 	Convey("Given five crashes, of which the crashing part's report of the first one is lost", t, func() {
 		table := New()
 		for n, parts := range [][]string{{"rare-2"}, {"bad", "rare-2", "rare-3"}, {"bad", "rare-2"}, {"bad", "rare-3"}, {"bad", "rare-3"}} {
-			table.RecordCrash(testStart, run(n), parts)
+			table.RecordCrash(testStart, run(n), prompt(parts...))
 		}
-		So(table.Check([]string{"bad", "other"}), ShouldBeEmpty)
-		So(table.Check([]string{"bad", "rare-3"}), ShouldEqual, "bad")
+		So(check(table, "bad", "other"), ShouldBeEmpty)
+		So(check(table, "bad", "rare-3"), ShouldEqual, "bad")
 		Convey("one more crash suffices for all requests with the part to be refused", func() {
-			table.RecordCrash(testStart, run(5), []string{"bad"})
+			table.RecordCrash(testStart, run(5), prompt("bad"))
 			for _, request := range crashingRequests() {
-				So(table.Check(request), ShouldNotBeEmpty)
+				So(check(table, request...), ShouldNotBeEmpty)
 			}
-			So(table.Check([]string{"rare-3"}), ShouldBeEmpty)
+			So(check(table, "rare-3"), ShouldBeEmpty)
 		})
 	})
 }
@@ -124,21 +134,21 @@
 func TestMassCrash(t *testing.T) {
 	Convey("Given a fleet in which each process has seen completed responses to a common part", t, func() {
 		table := New()
-		table.RecordCompleted(testStart, []string{"common"})
+		table.RecordCompleted(testStart, prompt("common"))
 		Convey("the crash of all targets at once suspects only parts without completed responses", func() {
 			for n := range 20 {
-				table.RecordCrash(testStart.Add(time.Second), run(n), []string{"common", fmt.Sprint("document-", n)})
+				table.RecordCrash(testStart.Add(time.Second), run(n), prompt("common", fmt.Sprint("document-", n)))
 			}
-			So(table.Check([]string{"common", "document-1"}), ShouldBeEmpty)
+			So(check(table, "common", "document-1"), ShouldBeEmpty)
 		})
 		Convey("a restarted process, which has seen none, learns that the crashes are cleared", func() {
 			restarted := New()
 			for n := range 5 {
-				restarted.RecordCrash(testStart.Add(time.Second), run(n), []string{"common"})
+				restarted.RecordCrash(testStart.Add(time.Second), run(n), prompt("common"))
 			}
 			table.Merge(testStart.Add(time.Second), restarted.News(testStart.Add(time.Second)))
 			restarted.Merge(testStart.Add(time.Second), table.News(testStart.Add(time.Second)))
-			So(restarted.Check([]string{"common"}), ShouldBeEmpty)
+			So(check(restarted, "common"), ShouldBeEmpty)
 		})
 	})
 }
@@ -150,15 +160,15 @@
 		table := New()
 		now := testStart
 		for n := range 12 {
-			table.RecordCrash(now, run(n), []string{"bad"})
+			table.RecordCrash(now, run(n), prompt("bad"))
 			for i := range 400 {
-				table.RecordCrash(now, run(n), []string{fmt.Sprintf("once-%d-%d", n, i)})
+				table.RecordCrash(now, run(n), prompt(fmt.Sprintf("once-%d-%d", n, i)))
 			}
 			now = now.Add(time.Second)
 		}
-		So(table.Check([]string{"bad"}), ShouldEqual, "bad")
-		So(len(table.parts), ShouldBeLessThanOrEqualTo, maxParts)
-		So(len(table.Snapshot()), ShouldEqual, maxStoredParts)
+		So(check(table, "bad"), ShouldEqual, "bad")
+		So(len(table.states), ShouldBeLessThanOrEqualTo, maxSuspects)
+		So(len(table.Snapshot()), ShouldEqual, maxStored)
 		So(table.Snapshot()[0].Part, ShouldEqual, "bad")
 		news := table.News(now)
 		So(news[0].Part, ShouldEqual, "bad")
@@ -169,17 +179,17 @@
 func TestMissingFromStore(t *testing.T) {
 	Convey("Given a table with crashes", t, func() {
 		table := New()
-		table.RecordCrash(testStart, run(1), []string{"bad"})
+		table.RecordCrash(testStart, run(1), prompt("bad"))
 		So(table.Missing(nil), ShouldBeFalse)
-		table.RecordCrash(testStart, run(0), []string{"bad"})
+		table.RecordCrash(testStart, run(0), prompt("bad"))
 		So(table.Missing(nil), ShouldBeTrue)
 		stored := table.Snapshot()
 		So(table.Missing(stored), ShouldBeFalse)
 		Convey("a further crash, or that one is cleared, is missing from an older copy", func() {
-			table.RecordCrash(testStart, run(2), []string{"bad"})
+			table.RecordCrash(testStart, run(2), prompt("bad"))
 			So(table.Missing(stored), ShouldBeTrue)
 			newer := table.Snapshot()
-			table.RecordCompleted(testStart, []string{"bad"})
+			table.RecordCompleted(testStart, prompt("bad"))
 			So(table.Missing(newer), ShouldBeTrue)
 			So(table.Missing(table.Snapshot()), ShouldBeFalse)
 			So(table.Missing(nil), ShouldBeFalse)
@@ -192,13 +202,13 @@
 func TestNewsOfCrashes(t *testing.T) {
 	Convey("Given a process that learned of a crash from another one", t, func() {
 		observer, other := New(), New()
-		observer.RecordCrash(testStart, run(1), []string{"rare"})
+		observer.RecordCrash(testStart, run(1), prompt("rare"))
 		So(other.Merge(testStart, observer.News(testStart)), ShouldBeTrue)
 		Convey("it does not pass it on", func() {
 			So(other.News(testStart), ShouldBeEmpty)
 		})
 		Convey("it tells that it has cleared it", func() {
-			other.RecordCompleted(testStart, []string{"rare"})
+			other.RecordCompleted(testStart, prompt("rare"))
 			So(observer.Merge(testStart, other.News(testStart)), ShouldBeTrue)
 			So(observer.Snapshot()[0].Crashes[0].Cleared, ShouldBeTrue)
 		})
@@ -208,3 +218,49 @@
 		})
 	})
 }
+
+// TestRequestsThatComeAgain answers the pattern of one request that crashes each target that
+// runs it, at a service whose requests have no prompts.
+func TestRequestsThatComeAgain(t *testing.T) {
+	Convey("Given a table", t, func() {
+		table := New()
+		crashing, beside := Request{Fingerprint: "crashing"}, Request{Fingerprint: "beside"}
+		isRefused := func(request Request) bool {
+			_, refused := table.Check(request)
+			return refused
+		}
+		Convey("a request is refused once three runs of targets have crashed under it", func() {
+			for n := range minCrashes {
+				So(isRefused(crashing), ShouldBeFalse)
+				So(table.RecordCrash(testStart, run(n), crashing), ShouldResemble, []Suspect{{Request: "crashing"}})
+				So(table.IsSuspected(crashing), ShouldBeTrue)
+			}
+			So(isRefused(crashing), ShouldBeTrue)
+			So(isRefused(beside), ShouldBeFalse)
+			So(table.TakeTransitions(), ShouldResemble, []Transition{{Suspect: Suspect{Request: "crashing"}, Quarantined: true, Crashes: minCrashes}})
+			requests, parts := table.Quarantined()
+			So([]int{requests, parts}, ShouldResemble, []int{1, 0})
+		})
+		Convey("a sound request that was beside it is cleared by a completed response", func() {
+			for n := range minCrashes {
+				table.RecordCrash(testStart, run(n), crashing)
+				table.RecordCrash(testStart, run(n), beside)
+			}
+			So(table.RecordCompleted(testStart, beside), ShouldResemble, []Suspect{{Request: "beside"}})
+			So(isRefused(beside), ShouldBeFalse)
+			So(table.IsSuspected(beside), ShouldBeFalse)
+			So(isRefused(crashing), ShouldBeTrue)
+		})
+		Convey("a request and a part with the same identifier are not the same", func() {
+			for n := range minCrashes {
+				table.RecordCrash(testStart, run(n), crashing)
+			}
+			So(check(table, "crashing"), ShouldBeEmpty)
+		})
+		Convey("a record without a suspect is ignored", func() {
+			crash := []Crash{{Target: run(1), UnixMS: testStart.UnixMilli()}}
+			So(table.Merge(testStart, []Record{{Crashes: crash}, {Suspect: Suspect{Request: "a", Part: "b"}, Crashes: crash}}), ShouldBeFalse)
+			So(table.Snapshot(), ShouldBeEmpty)
+		})
+	})
+}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -8,20 +8,20 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// Crash is the crash of a target under a request with a certain part.
+// Crash is the crash of a target under a request with a certain suspect.
 type Crash struct {
 	// Target is the run of the target that crashed.
 	Target fleet.Boot `json:"target"`
 	// UnixMS is the time at which a process learned of the crash, on its clock.
 	UnixMS int64 `json:"unix_ms"`
 	// Cleared is set once a target has completed a response to a request with the
-	// part: the part did not cause the crash.
+	// suspect: it did not cause the crash.
 	Cleared bool `json:"cleared,omitempty"`
 }
 
-// Record holds what is known of a part of prompts.
+// Record holds what is known of a suspect.
 type Record struct {
-	Part    string  `json:"part"`
+	Suspect
 	Crashes []Crash `json:"crashes"`
 }
 
@@ -39,7 +39,7 @@
 // compareRelevance orders records with more open crashes first, then those with the
 // most recent crash.
 func compareRelevance(a, b Record) int {
-	return cmp.Or(cmp.Compare(b.openCrashes(), a.openCrashes()), cmp.Compare(b.latestUnixMS(), a.latestUnixMS()), cmp.Compare(a.Part, b.Part))
+	return cmp.Or(cmp.Compare(b.openCrashes(), a.openCrashes()), cmp.Compare(b.latestUnixMS(), a.latestUnixMS()), compareSuspects(a.Suspect, b.Suspect))
 }
 
 func (r *Record) latestUnixMS() int64 {
@@ -50,28 +50,69 @@
 	return latest
 }
 
-// partState is the state of a part with crashes.
-type partState struct {
+// suspectState is the state of a suspect.
+type suspectState struct {
 	crashes map[fleet.Boot]*Crash
+	// openCount is the number of crashes that are not cleared.
+	openCount int
 	// observedAt is the time at which this process itself last observed a crash, or
-	// that the part did not cause the crashes.
+	// that the suspect did not cause the crashes.
 	observedAt time.Time
 }
 
-// open returns the runs of targets whose crashes are not cleared.
-func (s *partState) open() []fleet.Boot {
-	var runs []fleet.Boot
+// add adds a crash that isn't known.
+func (s *suspectState) add(crash Crash) {
+	s.crashes[crash.Target] = &crash
+	if !crash.Cleared {
+		s.openCount++
+	}
+}
+
+// clear marks a known crash as cleared.
+func (s *suspectState) clear(crash *Crash) {
+	if !crash.Cleared {
+		crash.Cleared = true
+		s.openCount--
+	}
+}
+
+// clearAll marks all crashes as cleared and reports whether any was open.
+func (s *suspectState) clearAll() bool {
+	changed := s.openCount > 0
+	for _, crash := range s.crashes {
+		s.clear(crash)
+	}
+	return changed
+}
+
+func (s *suspectState) remove(run fleet.Boot) {
+	if !s.crashes[run].Cleared {
+		s.openCount--
+	}
+	delete(s.crashes, run)
+}
+
+// isOpen reports whether the crash of a run is known and not cleared.
+func (s *suspectState) isOpen(run fleet.Boot) bool {
+	crash, ok := s.crashes[run]
+	return ok && !crash.Cleared
+}
+
+// countWithout returns the number of open crashes that are no open crashes of another
+// suspect.
+func (s *suspectState) countWithout(other *suspectState) int {
+	count := 0
 	for run, crash := range s.crashes {
-		if !crash.Cleared {
-			runs = append(runs, run)
+		if !crash.Cleared && !other.isOpen(run) {
+			count++
 		}
 	}
-	return runs
+	return count
 }
 
 // record returns the state as a Record, with the most recent crashes first.
-func (s *partState) record(part string) Record {
-	r := Record{Part: part, Crashes: make([]Crash, 0, len(s.crashes))}
+func (s *suspectState) record(suspect Suspect) Record {
+	r := Record{Suspect: suspect, Crashes: make([]Crash, 0, len(s.crashes))}
 	for _, crash := range s.crashes {
 		r.Crashes = append(r.Crashes, *crash)
 	}
@@ -81,34 +122,23 @@
 	return r
 }
 
-// clear marks all crashes as cleared and reports whether any was open.
-func (s *partState) clear() bool {
-	changed := false
-	for _, crash := range s.crashes {
-		changed = changed || !crash.Cleared
-		crash.Cleared = true
-	}
-	return changed
-}
-
-// expire drops the crashes from before the given time, and the oldest ones above
-// maxCrashesPerPart, cleared ones first.
-func (s *partState) expire(beforeUnixMS int64) bool {
-	changed := false
+// expire drops the crashes from before the given time.
+func (s *suspectState) expire(beforeUnixMS int64) {
 	for run, crash := range s.crashes {
 		if crash.UnixMS < beforeUnixMS {
-			delete(s.crashes, run)
-			changed = true
+			s.remove(run)
 		}
 	}
-	for len(s.crashes) > maxCrashesPerPart {
-		delete(s.crashes, s.leastRelevant())
-		changed = true
+}
+
+// limit drops the oldest crashes above maxCrashesPerSuspect, cleared ones first.
+func (s *suspectState) limit() {
+	for len(s.crashes) > maxCrashesPerSuspect {
+		s.remove(s.leastRelevant())
 	}
-	return changed
 }
 
-func (s *partState) leastRelevant() fleet.Boot {
+func (s *suspectState) leastRelevant() fleet.Boot {
 	var least *Crash
 	for _, crash := range s.crashes {
 		if least == nil || lessRelevant(crash, least) {
--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -10,81 +11,25 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// fact is that a run of a target crashed under a part.
-type fact struct {
-	part   string
-	target fleet.Boot
-}
-
-// knowledge is the oracle's state of a process: each known fact, and whether it is
-// cleared. It has no bounds.
-type knowledge struct {
-	facts  map[fact]bool
-	proven map[string]bool
-}
-
-func newKnowledge() *knowledge {
-	return &knowledge{facts: map[fact]bool{}, proven: map[string]bool{}}
-}
-
-func (k *knowledge) learn(f fact, cleared bool) {
-	k.facts[f] = k.facts[f] || cleared || (!k.has(f) && k.proven[f.part])
-}
-
-func (k *knowledge) has(f fact) bool {
-	_, ok := k.facts[f]
-	return ok
-}
-
-func (k *knowledge) merge(facts map[fact]bool) {
-	for f, cleared := range facts {
-		k.learn(f, cleared)
-	}
-}
-
-// open returns the targets that crashed under a part, without the cleared crashes.
-func (k *knowledge) open(part string) map[fleet.Boot]bool {
-	targets := map[fleet.Boot]bool{}
-	for f, cleared := range k.facts {
-		if f.part == part && !cleared {
-			targets[f.target] = true
-		}
-	}
-	return targets
-}
-
-// refuses applies the definition to a request: one of its parts has enough crashes, and
-// each other part with enough crashes that explains them is in the request too.
-func (k *knowledge) refuses(request []string) bool {
-	return slices.ContainsFunc(request, func(part string) bool {
-		crashes := k.open(part)
-		if len(crashes) < minCrashes {
-			return false
-		}
-		return !slices.ContainsFunc(allParts, func(other string) bool {
-			others := k.open(other)
-			if other == part || len(others) < minCrashes || slices.Contains(request, other) {
-				return false
-			}
-			alone := 0
-			for target := range crashes {
-				if !others[target] {
-					alone++
-				}
-			}
-			return alone < minSeparateCrashes
-		})
-	})
-}
-
 const (
-	crashingTestPart = "bad"
+	crashingTestPart    = "bad"
+	crashingTestRequest = "deadly"
 	// maxCrashesAfterReunion is the number of crashes after which no request with the
-	// crashing part may reach a target, once all processes are in contact.
+	// crashing part may reach a target, once all processes are in contact, and
+	// maxRepeatsAfterReunion that number for the crashing request.
 	maxCrashesAfterReunion = 5
+	maxRepeatsAfterReunion = 3
 )
 
-var allParts = []string{crashingTestPart, "common", "rare-1", "rare-2", "rare-3"}
+var (
+	allParts = []string{crashingTestPart, "common", "rare-1", "rare-2", "rare-3"}
+	// repeatedRequests holds the requests that come again and again.
+	repeatedRequests = []Request{
+		{Fingerprint: crashingTestRequest, Parts: []string{"common", "rare-3"}},
+		{Fingerprint: "sound-1", Parts: []string{"common", "rare-1"}},
+		{Fingerprint: "sound-2"},
+	}
+)
 
 // testProcess is a process with its table and what the oracle says that it knows.
 type testProcess struct {
@@ -106,52 +51,79 @@
 	store     storeCopy
 	copies    []storeCopy
 	crashes   int
+	// requests counts the requests that come only once.
+	requests int
+	// partCrashes and requestCrashes tell what crashes targets.
+	partCrashes, requestCrashes bool
+	// changed is set if a process may know what another one doesn't.
+	changed bool
 }
 
 func (w *world) draw(t *rapid.T) *testProcess {
 	return rapid.SampledFrom(w.processes).Draw(t, "process")
 }
 
-// drawRequest returns a request's parts, in a random order.
-func drawRequest(t *rapid.T) []string {
-	return rapid.SliceOfNDistinct(rapid.SampledFrom(allParts), 1, 3, rapid.ID).Draw(t, "parts")
+// drawRequest returns a request that comes again, or one with parts in a random order that
+// comes only once.
+func (w *world) drawRequest(t *rapid.T) Request {
+	if rapid.Bool().Draw(t, "repeated") {
+		return rapid.SampledFrom(repeatedRequests).Draw(t, "request")
+	}
+	w.requests++
+	return Request{
+		Fingerprint: fmt.Sprint("once-", w.requests),
+		Parts:       rapid.SliceOfNDistinct(rapid.SampledFrom(allParts), 0, 3, rapid.ID).Draw(t, "parts"),
+	}
+}
+
+// doesCrash reports whether a request crashes its target.
+func (w *world) doesCrash(request Request) bool {
+	return (w.partCrashes && slices.Contains(request.Parts, crashingTestPart)) || (w.requestCrashes && request.Fingerprint == crashingTestRequest)
 }
 
-// send runs a request at a process, unless it is refused: a target crashes on the
-// crashing part, and beside it another process may have a request at the same target.
+// send runs a request at a process, unless it is refused. When it crashes its target,
+// another process may have a request at the same target.
 func (w *world) send(t *rapid.T) {
 	process := w.draw(t)
-	request := drawRequest(t)
-	if process.table.Check(request) != "" {
+	request := w.drawRequest(t)
+	if _, refused := process.table.Check(request); refused {
 		return
 	}
-	if !slices.Contains(request, crashingTestPart) {
+	if !w.doesCrash(request) {
 		w.complete(process, request)
 		return
 	}
-	target := run(w.crashes)
-	w.crashes++
-	w.crash(process, target, request)
+	target := w.crash(process, request)
 	if rapid.Bool().Draw(t, "beside") {
-		w.crash(w.draw(t), target, drawRequest(t))
+		w.recordCrash(w.draw(t), target, w.drawRequest(t))
 	}
 }
 
-func (w *world) crash(p *testProcess, target fleet.Boot, request []string) {
+// crash crashes the next target under a request.
+func (w *world) crash(p *testProcess, request Request) fleet.Boot {
+	target := run(w.crashes)
+	w.crashes++
+	w.recordCrash(p, target, request)
+	return target
+}
+
+func (w *world) recordCrash(p *testProcess, target fleet.Boot, request Request) {
+	w.changed = true
 	p.table.RecordCrash(w.now, target, request)
-	for _, part := range request {
-		if !p.oracle.proven[part] {
-			p.oracle.learn(fact{part, target}, false)
+	for _, suspect := range request.suspects() {
+		if !p.oracle.proven[suspect] {
+			p.oracle.learn(fact{suspect, target}, false)
 		}
 	}
 }
 
-func (w *world) complete(p *testProcess, request []string) {
+func (w *world) complete(p *testProcess, request Request) {
+	w.changed = true
 	p.table.RecordCompleted(w.now, request)
-	for _, part := range request {
-		p.oracle.proven[part] = true
+	for _, suspect := range request.suspects() {
+		p.oracle.proven[suspect] = true
 		for f := range p.oracle.facts {
-			if f.part == part {
+			if f.suspect == suspect {
 				p.oracle.facts[f] = true
 			}
 		}
@@ -180,6 +152,7 @@
 }
 
 func (w *world) read(p *testProcess) {
+	w.changed = true
 	p.table.Merge(w.now, w.store.records)
 	p.oracle.merge(w.store.facts)
 }
@@ -190,12 +163,22 @@
 	w.read(p)
 }
 
+// join adds a process that knows only what is in the store.
+func (w *world) join() {
+	p := &testProcess{}
+	w.processes = append(w.processes, p)
+	w.restart(p)
+}
+
 // TestTableAgainstOracle compares the tables of a fleet with a simple model while its
-// processes crash targets, exchange states, are cut off and restart, and the store is
+// processes crash targets, exchange states, are cut off, restart and join, and the store is
 // restored from older copies.
 func TestTableAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{now: testStart, store: storeCopy{facts: map[fact]bool{}}}
+		w := &world{
+			now: testStart, store: storeCopy{facts: map[fact]bool{}},
+			partCrashes: rapid.Bool().Draw(t, "part crashes"), requestCrashes: rapid.Bool().Draw(t, "request crashes"),
+		}
 		for range rapid.SampledFrom([]int{1, 2, 4, 9, 103}).Draw(t, "processes") {
 			w.processes = append(w.processes, &testProcess{table: New(), oracle: newKnowledge()})
 		}
@@ -206,6 +189,7 @@
 			"read":     func(t *rapid.T) { w.read(w.draw(t)) },
 			"cut":      func(t *rapid.T) { p := w.draw(t); p.cutOff = !p.cutOff },
 			"restart":  func(t *rapid.T) { w.restart(w.draw(t)) },
+			"join":     func(*rapid.T) { w.join() },
 			"restore": func(t *rapid.T) {
 				if len(w.copies) > 0 {
 					w.store = rapid.SampledFrom(w.copies).Draw(t, "copy")
@@ -219,52 +203,94 @@
 
 // check compares the verdicts of all processes with those of the oracle.
 func (w *world) check(t *rapid.T) {
-	request := drawRequest(t)
+	request := w.drawRequest(t)
 	for i, p := range w.processes {
-		if got, want := p.table.Check(request) != "", p.oracle.refuses(request); got != want {
-			t.Fatalf("process %d refuses %v: %t, the oracle: %t, with %v", i, request, got, want, p.oracle.facts)
+		if _, got := p.table.Check(request); got != p.oracle.refuses(request) {
+			t.Fatalf("process %d refuses %v: %t, the oracle: %t, with %v", i, request, got, !got, p.oracle.facts)
 		}
 	}
 }
 
-// crashingRequests returns requests with the crashing part, alone and beside parts that are
-// seldom used.
+// crashingRequests returns the parts of requests with the crashing part, alone and beside
+// parts that are seldom used.
 func crashingRequests() [][]string {
 	return [][]string{
 		{"common", "rare-2", crashingTestPart}, {"common", "rare-3", crashingTestPart}, {"common", "other", crashingTestPart}, {crashingTestPart},
 	}
 }
 
-// checkAfterReunion checks what callers see once all processes are in contact: no part
-// that has been in a completed response since is refused alone, and five crashes suffice
-// for all processes to refuse all requests with the crashing part. Those that are not
-// refused yet come in turn.
-func (w *world) checkAfterReunion(t *rapid.T) {
+// exchangeAll makes all processes know everything, if they don't. It returns the first one.
+func (w *world) exchangeAll() *testProcess {
 	all := w.processes[0]
+	if !w.changed {
+		return all
+	}
+	w.changed = false
+	for range 2 {
+		for _, p := range w.processes[1:] {
+			w.exchange(all, p)
+			w.exchange(p, all)
+		}
+	}
+	return all
+}
+
+// crashUnlessRefused sends a request that crashes its target, and reports whether it was
+// not refused.
+func (w *world) crashUnlessRefused(request Request) bool {
+	all := w.exchangeAll()
+	if _, refused := all.table.Check(request); refused {
+		return false
+	}
+	w.crash(all, request)
+	return true
+}
+
+// checkAfterReunion checks what callers see once all processes are in contact: nothing
+// that has been in a completed response since is refused, and a few crashes suffice for all
+// processes to refuse all requests that crash targets.
+func (w *world) checkAfterReunion(t *rapid.T) {
 	for _, p := range w.processes {
 		p.cutOff = false
-		all.table.Merge(w.now, p.table.Snapshot())
-		all.oracle.merge(p.oracle.facts)
 	}
-	w.complete(all, []string{"common", "rare-1"})
-	crashing := crashingRequests()
-	for crashes, n := 0, 0; crashes < maxCrashesAfterReunion && n < maxCrashesAfterReunion*len(crashing); n++ {
-		request := crashing[n%len(crashing)]
-		if all.table.Check(request) != "" {
-			continue
+	sound := Request{Fingerprint: "sound-1", Parts: []string{"common", "rare-1"}}
+	w.complete(w.exchangeAll(), sound)
+	w.crashUntilRefused(t)
+	w.exchangeAll()
+	for i, p := range w.processes {
+		if _, refused := p.table.Check(sound); refused {
+			t.Fatalf("process %d refuses a sound request", i)
 		}
-		w.crash(all, run(w.crashes), request)
-		w.crashes++
-		crashes++
+		w.checkRefusals(t, i, p)
 	}
-	for i, p := range w.processes {
-		w.exchange(all, p)
-		if p.table.Check([]string{"common", "rare-1"}) != "" {
-			t.Fatalf("process %d refuses sound parts", i)
+}
+
+// checkRefusals checks that a process refuses all requests that crash targets.
+func (w *world) checkRefusals(t *rapid.T, number int, p *testProcess) {
+	if _, refused := p.table.Check(repeatedRequests[0]); w.requestCrashes && !refused {
+		t.Fatalf("process %d does not refuse the crashing request", number)
+	}
+	for _, parts := range crashingRequests() {
+		if _, refused := p.table.Check(prompt(parts...)); w.partCrashes && !refused {
+			t.Fatalf("process %d does not refuse %v after %d crashes", number, parts, w.crashes)
+		}
+	}
+}
+
+// crashUntilRefused sends the crashing request and requests with the crashing part in turn,
+// those that are not refused. Some of the latter come again.
+func (w *world) crashUntilRefused(t *rapid.T) {
+	crashing := crashingRequests()
+	repeats, crashes := 0, 0
+	for n := range 4 * maxCrashesAfterReunion * len(crashing) {
+		if w.requestCrashes && repeats < maxRepeatsAfterReunion && w.crashUnlessRefused(repeatedRequests[0]) {
+			repeats++
 		}
-		for _, request := range crashing {
-			if p.table.Check(request) == "" {
-				t.Fatalf("process %d does not refuse %v after %d crashes", i, request, w.crashes)
+		request := Request{Fingerprint: fmt.Sprint("again-", n), Parts: crashing[n%len(crashing)]}
+		for w.partCrashes && crashes < maxCrashesAfterReunion && w.crashUnlessRefused(request) {
+			crashes++
+			if rapid.Bool().Draw(t, "last") {
+				break
 			}
 		}
 	}
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -1,103 +1,89 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// derive returns the quarantined parts with their companions.
-func (t *Table) derive() map[string][]string {
-	suspects := t.suspects()
-	quarantined := make(map[string][]string, len(suspects))
-	for part, crashes := range suspects {
-		quarantined[part] = t.companions(part, crashes, suspects)
+// derive returns the quarantined suspects with their companions.
+func (t *Table) derive() map[Suspect][]Suspect {
+	parts := t.suspectedParts()
+	quarantined := make(map[Suspect][]Suspect, len(parts))
+	for suspect, state := range t.states {
+		if suspect.Request != "" && state.openCount >= minCrashes {
+			quarantined[suspect] = nil
+		}
+	}
+	for _, part := range parts {
+		quarantined[part] = t.companions(part, parts)
 	}
 	return quarantined
 }
 
-// suspects returns the open crashes of the parts that have enough of them, at most
-// maxSuspects parts.
-func (t *Table) suspects() map[string][]fleet.Boot {
-	var records []Record
-	for part, state := range t.parts {
-		if len(state.open()) >= minCrashes {
-			records = append(records, state.record(part))
+// suspectedParts returns the parts that have enough open crashes, at most
+// maxComparedParts.
+func (t *Table) suspectedParts() []Suspect {
+	var parts []Suspect
+	for suspect, state := range t.states {
+		if suspect.Part != "" && state.openCount >= minCrashes {
+			parts = append(parts, suspect)
 		}
 	}
-	slices.SortFunc(records, compareRelevance)
-	suspects := map[string][]fleet.Boot{}
-	for i := range records[:min(maxSuspects, len(records))] {
-		part := records[i].Part
-		suspects[part] = t.parts[part].open()
-	}
-	return suspects
+	slices.SortFunc(parts, t.compareOpenCrashes)
+	return parts[:min(maxComparedParts, len(parts))]
 }
 
-// companions returns the suspects other than part that explain its crashes as well:
-// fewer than minSeparateCrashes are without them.
-func (t *Table) companions(part string, crashes []fleet.Boot, suspects map[string][]fleet.Boot) []string {
-	var companions []string
-	for other := range suspects {
-		if other != part && t.countWithout(crashes, t.parts[other]) < minSeparateCrashes {
-			companions = append(companions, other)
-		}
-	}
-	slices.Sort(companions)
-	return companions
+// compareOpenCrashes orders suspects with more open crashes first.
+func (t *Table) compareOpenCrashes(a, b Suspect) int {
+	return cmp.Or(cmp.Compare(t.states[b].openCount, t.states[a].openCount), compareSuspects(a, b))
 }
 
-// countWithout returns the number of crashes that are no open crashes of a part.
-func (t *Table) countWithout(crashes []fleet.Boot, other *partState) int {
-	count := 0
-	for _, run := range crashes {
-		if crash, ok := other.crashes[run]; !ok || crash.Cleared {
-			count++
+// companions returns the suspected parts other than part that explain its crashes as
+// well: fewer than minSeparateCrashes are without them.
+func (t *Table) companions(part Suspect, suspected []Suspect) []Suspect {
+	var companions []Suspect
+	for _, other := range suspected {
+		if other != part && t.states[part].countWithout(t.states[other]) < minSeparateCrashes {
+			companions = append(companions, other)
 		}
 	}
-	return count
+	slices.SortFunc(companions, compareSuspects)
+	return companions
 }
 
-// Check returns the quarantined part because of which a request with the given parts
-// must not be sent to a target, or "" if there is none.
-func (t *Table) Check(parts []string) string {
+// Check returns the quarantined suspect because of which a request must not be sent to a
+// target, if there is one.
+func (t *Table) Check(request Request) (suspect Suspect, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.quarantined) == 0 {
-		return ""
+		return Suspect{}, false
 	}
-	parts = keys(parts)
-	for _, part := range parts {
-		companions, ok := t.quarantined[part]
-		if ok && containsAll(parts, companions) {
-			return part
+	suspects := request.suspects()
+	for _, suspect := range suspects {
+		companions, ok := t.quarantined[suspect]
+		if ok && containsAll(suspects, companions) {
+			return suspect, true
 		}
 	}
-	return ""
+	return Suspect{}, false
 }
 
-// keys returns the keys under which the parts are known: their identifiers, or hashes of
-// longer ones.
-func keys(parts []string) []string {
-	tooLong := func(part string) bool { return len(part) > maxPartBytes }
-	if !slices.ContainsFunc(parts, tooLong) {
-		return parts
-	}
-	keys := slices.Clone(parts)
-	for i, part := range keys {
-		if tooLong(part) {
-			keys[i] = "hash:" + strconv.FormatUint(xxhash.Sum64String(part), 16)
-		}
+// IsSuspected reports whether a target has crashed under a request with this content, and
+// none has completed a response to one.
+func (t *Table) IsSuspected(request Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.states) == 0 {
+		return false
 	}
-	return keys
+	state, ok := t.states[Suspect{Request: shortID(request.Fingerprint)}]
+	return ok && state.openCount > 0
 }
 
-func containsAll(parts, wanted []string) bool {
-	for _, part := range wanted {
-		if !slices.Contains(parts, part) {
+func containsAll(suspects, wanted []Suspect) bool {
+	for _, suspect := range wanted {
+		if !slices.Contains(suspects, suspect) {
 			return false
 		}
 	}
--- a/pkg/relay/attemptlimits.go
+++ b/pkg/relay/attemptlimits.go
@@ -51,7 +51,7 @@
 	if result == deadlineExceeded || countedAttempts >= q.route.MaxAttempts || q.remaining() <= 0 {
 		return false
 	}
-	if result != notRun && !q.route.Retryable() {
+	if result != notRun && (!q.route.Retryable() || q.isSuspected()) {
 		return false
 	}
 	return q.takeRetry(ctx)
@@ -60,7 +60,7 @@
 // takeRepeat reports whether the request may be sent again to a target that it has
 // been sent to. It consumes one retry of the service's budget if so.
 func (q *request) takeRepeat(ctx context.Context) bool {
-	return q.route.Retryable() && q.remaining() > 0 && q.takeRetry(ctx)
+	return q.route.Retryable() && q.remaining() > 0 && !q.isSuspected() && q.takeRetry(ctx)
 }
 
 // waitToAskAgain reports whether the target that rejected the continuation of a
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -5,59 +5,66 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
 )
 
 // earlyCrashWindow is the time after a target's first event within which a crash may
 // have been caused by the request.
 const earlyCrashWindow = 300 * time.Millisecond
 
-// Quarantine knows the parts of prompts that crash targets. Its methods must not block.
+// Quarantine knows the requests and the parts of prompts that crash targets. Its methods
+// must not block.
 type Quarantine interface {
-	// Check returns the part because of which a request with the given parts must not
-	// be sent to a target, or "" if there is none.
-	Check(parts []string) string
-	// Completed is called when a target has completed a response to a request with the
-	// given parts.
-	Completed(parts []string)
-	// BrokenOff is called when the response to a request with the given parts ended
-	// before it had begun, or soon after, and this process did not end it.
-	BrokenOff(requestID string, target fleet.Target, parts []string)
+	// Check returns what is quarantined of a request, if anything is. The request must
+	// not be sent to a target then.
+	Check(request quarantine.Request) (suspect quarantine.Suspect, quarantined bool)
+	// IsSuspected reports whether a target has crashed under a request with the same
+	// fingerprint, and none has completed a response to one.
+	IsSuspected(request quarantine.Request) bool
+	// Completed is called when a target has completed a response to a request.
+	Completed(request quarantine.Request)
+	// BrokenOff is called when the response to a request ended before it had begun, or
+	// soon after, and this process did not end it.
+	BrokenOff(requestID string, target fleet.Target, request quarantine.Request)
 }
 
-// hasSharedPrompt reports whether the request runs on an engine and its prompt has parts
-// that other requests may share.
-func (q *request) hasSharedPrompt() bool {
-	return len(q.sharedParts) > 0 && q.config.Services[q.service].HasEngines
-}
-
-// quarantineParts returns the parts of the prompt that may be suspected of a crash.
-func (q *request) quarantineParts() []string {
-	if !q.hasSharedPrompt() {
-		return nil
+// crashRequest returns what may be suspected if a target crashes under the request. Parts
+// of prompts matter to engines only.
+func (q *request) crashRequest() quarantine.Request {
+	request := quarantine.Request{Fingerprint: q.fingerprint}
+	if q.config.Services[q.service].HasEngines {
+		request.Parts = q.sharedParts
 	}
-	return q.sharedParts
+	return request
 }
 
 // checkQuarantine returns a refusal if the request must not be sent to any target.
 func (q *request) checkQuarantine() *refusal {
-	if !q.hasSharedPrompt() {
+	suspect, quarantined := q.relay.Quarantine.Check(q.crashRequest())
+	if !quarantined {
 		return nil
 	}
-	part := q.relay.Quarantine.Check(q.sharedParts)
-	if part == "" {
-		return nil
+	reason := "prompt_quarantined"
+	if suspect.Request != "" {
+		reason = "request_quarantined"
 	}
-	return &refusal{status: http.StatusBadRequest, reason: "prompt_quarantined", part: part, permanent: true}
+	return &refusal{status: http.StatusBadRequest, reason: reason, part: suspect.Part, permanent: true}
 }
 
-// reportCrashEvidence reports what an ended attempt shows of the parts of its prompt.
+// isSuspected reports whether the request may crash its targets. Such a request is not
+// sent to a second one by itself.
+func (q *request) isSuspected() bool {
+	return q.relay.Quarantine.IsSuspected(q.crashRequest())
+}
+
+// reportCrashEvidence reports what an ended attempt shows of whether the request crashes
+// targets.
 func (q *request) reportCrashEvidence(a *attempt, result outcome) {
 	switch {
-	case result == failed && a.sent && a.endedBy == nil && a.firstEventAge(q.relay.Now()) < earlyCrashWindow:
-		q.relay.Quarantine.BrokenOff(q.meta.ID, a.choice.Target, q.quarantineParts())
-	case !q.hasSharedPrompt():
 	case result == completed && hasFraming(a.exchange.Response):
 		// A response that ends with its connection may have been cut by a crash.
-		q.relay.Quarantine.Completed(q.sharedParts)
+		q.relay.Quarantine.Completed(q.crashRequest())
+	case result == failed && a.sent && a.endedBy == nil && a.firstEventAge(q.relay.Now()) < earlyCrashWindow:
+		q.relay.Quarantine.BrokenOff(q.meta.ID, a.choice.Target, q.crashRequest())
 	}
 }
--- a/pkg/relay/standby.go
+++ b/pkg/relay/standby.go
@@ -44,6 +44,10 @@
 func (d *dispatcher) beginStandby(hasRetry bool) {
 	q := d.q
 	d.active.silences++
+	if q.isSuspected() {
+		d.logSilence("", "suspected_of_crashes")
+		return
+	}
 	mayBegin, allowed := d.standbyTargets()
 	if !mayBegin {
 		d.logSilence("", "no_attempts_left")
--- a/pkg/relay/virtualtime_test.go
+++ b/pkg/relay/virtualtime_test.go
@@ -24,6 +24,7 @@
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -59,14 +60,18 @@
 
 func (testCodec) SetRequestID(h http.Header, id string) { h.Set(testHeaderID, id) }
 
-// noQuarantine implements Quarantine for prompts that crash no targets.
+// noQuarantine implements Quarantine for requests that crash no targets.
 type noQuarantine struct{}
 
-func (noQuarantine) Check([]string) string { return "" }
+func (noQuarantine) Check(quarantine.Request) (quarantine.Suspect, bool) {
+	return quarantine.Suspect{}, false
+}
+
+func (noQuarantine) IsSuspected(quarantine.Request) bool { return false }
 
-func (noQuarantine) Completed([]string) {}
+func (noQuarantine) Completed(quarantine.Request) {}
 
-func (noQuarantine) BrokenOff(string, fleet.Target, []string) {}
+func (noQuarantine) BrokenOff(string, fleet.Target, quarantine.Request) {}
 
 // scriptStep is what a target does next with a request.
 type scriptStep struct {
