A request that explains the crashes of a part keeps the part from being quarantined

What callers saw: at a quiet hour, with a request that crashes targets and comes alone, all other callers that share a part of its prompt were refused with 400 for 30 minutes. Nothing could clear the part, since what is refused can't complete.

Cause: each suspect was judged by itself. The part of the prompt is in all crashes of the request and has no completed response. Class: the more general of two explanations was taken.

A part is not suspected while one single request explains its crashes but for one; a request is not while another one with more crashes does. One request, not several together: else a part that crashes targets under requests that each come again would never be found. It is found after five crashes (three of the first, two of the next request).

--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -69,13 +69,13 @@
 		[]string{"request_id", "target", "born", "reason"}}
 	PartQuarantined = Event{942, "part_quarantined", "Requests with a part of a prompt are refused, since targets crash under it; only those that contain all companions too, which can't be told apart from it yet. source is self, a peer, or the store.",
 		[]string{"part", "crashes", "companions", "source"}}
-	PartReleased = Event{943, "part_released", "A part of a prompt is no longer quarantined: a target has completed a response to a request with it, or its crashes are too old.",
+	PartReleased = Event{943, "part_released", "A part of a prompt is no longer quarantined: a target has completed a response to a request with it, a single request explains its crashes, or they are too old.",
 		[]string{"part", "source"}}
 	PartsCleared       = Event{944, "parts_cleared", "A completed response cleared parts of a prompt that were suspected of crashing targets.", []string{"parts"}}
 	RequestCleared     = Event{950, "request_cleared", "A completed response cleared a request that was suspected of crashing targets.", []string{"fingerprint"}}
 	RequestQuarantined = Event{948, "request_quarantined", "Requests with a fingerprint are refused, since targets crash under them. source is self, a peer, or the store.",
 		[]string{"fingerprint", "crashes", "source"}}
-	RequestReleased = Event{949, "request_released", "Requests with a fingerprint are no longer quarantined: a target has completed a response to one, or the crashes are too old.",
+	RequestReleased = Event{949, "request_released", "Requests with a fingerprint are no longer quarantined: a target has completed a response to one, another request explains the crashes, or they are too old.",
 		[]string{"fingerprint", "source"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -40,9 +40,9 @@
 	maxCrashesPerSuspect = 32
 	// evictedSuspects is the number of suspects that are dropped at a time.
 	evictedSuspects = maxSuspects / 16
-	// maxComparedParts bounds the parts that are compared with each other, in order to
-	// bound the time of an update.
-	maxComparedParts = 64
+	// maxCompared bounds the requests and the parts that others are compared with, in
+	// order to bound the time of an update.
+	maxCompared = 64
 	// maxProven bounds the requests and parts whose completed responses are remembered.
 	maxProven = 20_000
 	// maxStored bounds the records that Snapshot returns.
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -251,6 +251,32 @@
 			So(table.IsSuspected(beside), ShouldBeFalse)
 			So(isRefused(crashing), ShouldBeTrue)
 		})
+		Convey("the parts of its prompt are not suspected, nor a sound request that was beside it more seldom", func() {
+			crashing.Parts = []string{"common", "rare"}
+			for n := range 5 {
+				table.RecordCrash(testStart, run(n), crashing)
+				if n != 1 {
+					table.RecordCrash(testStart, run(n), beside)
+				}
+				So(check(table, "common", "rare"), ShouldBeEmpty)
+			}
+			So(isRefused(crashing), ShouldBeTrue)
+			So(isRefused(beside), ShouldBeFalse)
+			Convey("until there are two crashes without it", func() {
+				for n := 5; n < 7; n++ {
+					table.RecordCrash(testStart, run(n), Request{Fingerprint: fmt.Sprint("once-", n), Parts: []string{"rare"}})
+				}
+				So(check(table, "common", "rare"), ShouldEqual, "rare")
+				So(check(table, "common"), ShouldBeEmpty)
+			})
+		})
+		Convey("a part that crashes targets under requests of which each comes again is found after five crashes", func() {
+			for n := range 5 {
+				So(check(table, "bad"), ShouldBeEmpty)
+				table.RecordCrash(testStart, run(n), Request{Fingerprint: fmt.Sprint("again-", n/3), Parts: []string{"bad"}})
+			}
+			So(check(table, "bad"), ShouldEqual, "bad")
+		})
 		Convey("a request and a part with the same identifier are not the same", func() {
 			for n := range minCrashes {
 				table.RecordCrash(testStart, run(n), crashing)
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -7,30 +7,52 @@
 
 // derive returns the quarantined suspects with their companions.
 func (t *Table) derive() map[Suspect][]Suspect {
-	parts := t.suspectedParts()
-	quarantined := make(map[Suspect][]Suspect, len(parts))
-	for suspect, state := range t.states {
-		if suspect.Request != "" && state.openCount >= minCrashes {
-			quarantined[suspect] = nil
+	requests, parts := t.recurrent()
+	explanations := t.mostCrashes(requests)
+	isExplained := func(suspect Suspect) bool { return t.isExplained(suspect, explanations) }
+	quarantined := make(map[Suspect][]Suspect, len(requests)+len(parts))
+	for _, request := range requests {
+		if t.states[request].openCount >= minCrashes && !isExplained(request) {
+			quarantined[request] = nil
 		}
 	}
-	for _, part := range parts {
-		quarantined[part] = t.companions(part, parts)
+	suspectedParts := slices.DeleteFunc(t.mostCrashes(parts), isExplained)
+	for _, part := range suspectedParts {
+		quarantined[part] = t.companions(part, suspectedParts)
 	}
 	return quarantined
 }
 
-// suspectedParts returns the parts that have enough open crashes, at most
-// maxComparedParts.
-func (t *Table) suspectedParts() []Suspect {
-	var parts []Suspect
+// recurrent returns the requests that may explain the crashes of another suspect, and the
+// parts that have enough open crashes.
+func (t *Table) recurrent() (requests, parts []Suspect) {
 	for suspect, state := range t.states {
-		if suspect.Part != "" && state.openCount >= minCrashes {
+		switch {
+		case suspect.Request != "" && state.openCount > minCrashes-minSeparateCrashes:
+			requests = append(requests, suspect)
+		case suspect.Part != "" && state.openCount >= minCrashes:
 			parts = append(parts, suspect)
 		}
 	}
-	slices.SortFunc(parts, t.compareOpenCrashes)
-	return parts[:min(maxComparedParts, len(parts))]
+	return requests, parts
+}
+
+// mostCrashes returns the suspects with the most open crashes, at most maxCompared.
+func (t *Table) mostCrashes(suspects []Suspect) []Suspect {
+	sorted := slices.SortedFunc(slices.Values(suspects), t.compareOpenCrashes)
+	return sorted[:min(maxCompared, len(sorted))]
+}
+
+// isExplained reports whether a single request explains the crashes of a suspect: fewer than
+// minSeparateCrashes are without that request. A part is the less likely cause then, since it
+// is in other requests too. Another request is it only if it has fewer crashes.
+func (t *Table) isExplained(suspect Suspect, requests []Suspect) bool {
+	state := t.states[suspect]
+	return slices.ContainsFunc(requests, func(request Suspect) bool {
+		explanation := t.states[request]
+		isBetter := suspect.Part != "" || explanation.openCount > state.openCount
+		return request != suspect && isBetter && state.countWithout(explanation) < minSeparateCrashes
+	})
 }
 
 // compareOpenCrashes orders suspects with more open crashes first.
