--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -28,6 +28,19 @@
 	BrokenOff(requestID string, target fleet.Target, request quarantine.Request)
 }
 
+// noQuarantine implements Quarantine for a relay without one.
+type noQuarantine struct{}
+
+func (noQuarantine) Check(quarantine.Request) (quarantine.Suspect, bool) {
+	return quarantine.Suspect{}, false
+}
+
+func (noQuarantine) IsSuspected(quarantine.Request) bool { return false }
+
+func (noQuarantine) Completed(quarantine.Request) {}
+
+func (noQuarantine) BrokenOff(string, fleet.Target, quarantine.Request) {}
+
 // crashRequest returns what may be suspected if a target crashes under the request. Parts
 // of prompts matter to engines only.
 func (q *request) crashRequest() quarantine.Request {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -59,7 +59,8 @@
 	// OnLimit is called with the limit that a response named, if any. sentAt is the time
 	// at which its request was sent. It must not block.
 	OnLimit func(requestID string, boot fleet.Boot, sentAt time.Duration, limit call.TargetLimit)
-	// Quarantine knows the parts of prompts that crash targets.
+	// Quarantine knows what crashes targets. If it is nil, no request is refused because of
+	// crashes.
 	Quarantine Quarantine
 	// Stopping reports whether the process is stopping, in which case
 	// connections are closed after the response.
@@ -84,6 +85,9 @@
 
 // New returns a Relay with the given dependencies.
 func New(config Config) *Relay {
+	if config.Quarantine == nil {
+		config.Quarantine = noQuarantine{}
+	}
 	return &Relay{Config: config, instruments: newInstruments(config.Metrics)}
 }
 
--- a/pkg/relay/virtualtime_test.go
+++ b/pkg/relay/virtualtime_test.go
@@ -24,7 +24,6 @@
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
-	"github.com/baobabhub/baobabhub/pkg/quarantine"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -60,19 +59,6 @@
 
 func (testCodec) SetRequestID(h http.Header, id string) { h.Set(testHeaderID, id) }
 
-// noQuarantine implements Quarantine for requests that crash no targets.
-type noQuarantine struct{}
-
-func (noQuarantine) Check(quarantine.Request) (quarantine.Suspect, bool) {
-	return quarantine.Suspect{}, false
-}
-
-func (noQuarantine) IsSuspected(quarantine.Request) bool { return false }
-
-func (noQuarantine) Completed(quarantine.Request) {}
-
-func (noQuarantine) BrokenOff(string, fleet.Target, quarantine.Request) {}
-
 // scriptStep is what a target does next with a request.
 type scriptStep struct {
 	pause  time.Duration
@@ -131,7 +117,7 @@
 		Pools: targetconn.NewPoolsWithDialer(w.dial), Buffers: membudget.New(64 << 20), Log: eventlog.New(&w.log, "entry", "vm"), Metrics: tally.NoopScope, Now: w.now,
 		CurrentConfig: func() *fleet.Config { return config }, Targets: func() []fleet.Target { return listed },
 		OnLeaving: func(fleet.Boot) {}, OnLimit: func(string, fleet.Boot, time.Duration, call.TargetLimit) {}, Stopping: func() bool { return false }, Refusing: func() bool { return false }, DrainExpired: context.Background(),
-		Processes: func() int { return 1 }, Retries: NewRetryBudgets(0, 100), Quarantine: noQuarantine{},
+		Processes: func() int { return 1 }, Retries: NewRetryBudgets(0, 100),
 	})
 	return w
 }
