A trial ends the quarantine of what is sound

What callers saw: a sound part of a prompt, or a sound request, that was in three crashes by chance at a quiet hour was refused for 30 minutes; nothing could clear it, since what is refused can't complete.

Cause: evidence in favour of a suspect came only from requests that the quarantine itself stops. Class: a circuit breaker without a half-open state.

10 s after the latest crash or trial of a part (60 s for a request), one request is let through at one process. The trial is written to the key in the store under a condition first, so two processes can't begin the same one, and restarted ones know of it. At most two trials of a part and one of a request, less one for each crash above the third.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -49,6 +49,10 @@
 	detector *crashDetector
 	// changed requests a comparison with the store.
 	changed chan struct{}
+	// refusedSuspects holds suspects of which a trial is due.
+	refusedSuspects chan quarantine.Suspect
+	// trialCount counts the trials of this process. Only run uses it.
+	trialCount int
 
 	mu sync.Mutex
 	// stored holds the records in the store, and storedRevision the key's revision.
@@ -57,12 +61,24 @@
 }
 
 func newQuarantineKeeper(entry *Entry) *quarantineKeeper {
-	return &quarantineKeeper{entry: entry, table: quarantine.New(), detector: newCrashDetector(entry), changed: make(chan struct{}, 1)}
+	return &quarantineKeeper{
+		entry: entry, table: quarantine.New(), detector: newCrashDetector(entry),
+		changed: make(chan struct{}, 1), refusedSuspects: make(chan quarantine.Suspect, 1),
+	}
 }
 
-// Check implements relay.Quarantine.
+// Check implements relay.Quarantine. A refused request may lead to a trial, which a later
+// one uses.
 func (k *quarantineKeeper) Check(request quarantine.Request) (quarantine.Suspect, bool) {
-	return k.table.Check(request)
+	now := time.Now()
+	suspect, quarantined := k.table.Check(now, request)
+	if !quarantined {
+		return suspect, false
+	}
+	if due, ok := k.table.DueTrial(now, request); ok {
+		k.requestTrial(due)
+	}
+	return suspect, true
 }
 
 // IsSuspected implements relay.Quarantine.
@@ -209,6 +225,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case suspect := <-k.refusedSuspects:
+			k.beginTrial(ctx, suspect)
 		case <-k.changed:
 		}
 		for k.isStoreBehind() && clock.Sleep(ctx, k.writeDelay()) {
@@ -239,6 +257,18 @@
 	if !k.isStoreBehind() {
 		return
 	}
+	err := k.writeFacts(ctx)
+	if errors.Is(err, kv.ErrConflict) {
+		err = k.read(ctx)
+	}
+	if err != nil && ctx.Err() == nil {
+		k.entry.log.Log(eventlog.DutyFailed, "duty", "quarantine", "err", errors.Annotate(err, "writing the known crashes"))
+		clock.Sleep(ctx, writeRetryDelay)
+	}
+}
+
+// writeFacts writes the known facts if the store holds what this process last read of it.
+func (k *quarantineKeeper) writeFacts(ctx context.Context) error {
 	_, revision := k.storedRecords()
 	snapshot := k.table.Snapshot()
 	value, err := json.Marshal(quarantineRecord{Suspects: snapshot})
@@ -247,15 +277,11 @@
 	}
 	key := k.entry.platform.Keys.QuarantineKey
 	revision, err = k.entry.platform.Store.CompareAndSwap(ctx, kv.Put{Key: key, Value: value, ExpectRevision: revision})
-	if errors.Is(err, kv.ErrConflict) {
-		err = k.read(ctx)
-	} else if err == nil {
-		k.setStored(snapshot, revision)
-	}
-	if err != nil && ctx.Err() == nil {
-		k.entry.log.Log(eventlog.DutyFailed, "duty", "quarantine", "err", errors.Annotate(err, "writing the known crashes"))
-		clock.Sleep(ctx, writeRetryDelay)
+	if err != nil {
+		return errors.Trace(err)
 	}
+	k.setStored(snapshot, revision)
+	return nil
 }
 
 // read merges the value that another process has written.
--- /dev/null
+++ b/pkg/entry/trials.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/kv"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
+)
+
+// requestTrial requests a trial of a suspect, unless one is requested already.
+func (k *quarantineKeeper) requestTrial(suspect quarantine.Suspect) {
+	select {
+	case k.refusedSuspects <- suspect:
+	default:
+	}
+}
+
+// beginTrial lets this process send one request with a quarantined suspect to a target. The
+// trial has to be in the store first, so that no two processes begin the same one: the write
+// fails if the store holds a trial that this process doesn't know.
+func (k *quarantineKeeper) beginTrial(ctx context.Context, suspect quarantine.Suspect) {
+	k.trialCount++
+	id := fmt.Sprintf("%s-%d", k.entry.bootID, k.trialCount)
+	if !k.table.AddTrial(time.Now(), suspect, id) {
+		return
+	}
+	err := k.writeFacts(ctx)
+	if err == nil {
+		k.table.Grant(time.Now(), suspect)
+		k.entry.log.Log(eventlog.TrialBegun, "fingerprint", suspect.Request, "part", suspect.Part, "trial", id)
+		return
+	}
+	if errors.Is(err, kv.ErrConflict) {
+		k.table.RemoveTrial(suspect, id)
+		err = k.read(ctx)
+	}
+	// After another error the write may have taken effect, so the trial counts.
+	if err != nil && ctx.Err() == nil {
+		k.entry.log.Log(eventlog.DutyFailed, "duty", "quarantine", "err", errors.Annotate(err, "writing a trial"))
+	}
+}
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -77,6 +77,8 @@
 		[]string{"fingerprint", "crashes", "source"}}
 	RequestReleased = Event{949, "request_released", "Requests with a fingerprint are no longer quarantined: a target has completed a response to one, another request explains the crashes, or they are too old.",
 		[]string{"fingerprint", "source"}}
+	TrialBegun = Event{951, "trial_begun", "This process may send one request with a quarantined fingerprint or part to a target. If that completes its response, the quarantine ends.",
+		[]string{"fingerprint", "part", "trial"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -87,5 +89,5 @@
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
-	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared,
+	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun,
 }
--- a/pkg/quarantine/oracle_test.go
+++ b/pkg/quarantine/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
@@ -15,16 +16,22 @@
 // knowledge is the oracle's state of a process: each known fact, and whether it is
 // cleared. It has no bounds.
 type knowledge struct {
-	facts  map[fact]bool
-	proven map[Suspect]bool
+	facts map[fact]bool
+	// provenAt holds the times of the latest completed responses.
+	provenAt map[Suspect]time.Time
 }
 
 func newKnowledge() *knowledge {
-	return &knowledge{facts: map[fact]bool{}, proven: map[Suspect]bool{}}
+	return &knowledge{facts: map[fact]bool{}, provenAt: map[Suspect]time.Time{}}
 }
 
-func (k *knowledge) learn(f fact, cleared bool) {
-	k.facts[f] = k.facts[f] || cleared || (!k.has(f) && k.proven[f.suspect])
+func (k *knowledge) isProven(now time.Time, suspect Suspect) bool {
+	at, ok := k.provenAt[suspect]
+	return ok && now.Sub(at) <= provenTTL
+}
+
+func (k *knowledge) learn(now time.Time, f fact, cleared bool) {
+	k.facts[f] = k.facts[f] || cleared || (!k.has(f) && k.isProven(now, f.suspect))
 }
 
 func (k *knowledge) has(f fact) bool {
@@ -32,9 +39,9 @@
 	return ok
 }
 
-func (k *knowledge) merge(facts map[fact]bool) {
+func (k *knowledge) merge(now time.Time, facts map[fact]bool) {
 	for f, cleared := range facts {
-		k.learn(f, cleared)
+		k.learn(now, f, cleared)
 	}
 }
 
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -76,6 +76,8 @@
 	provenAt *lru.Cache[Suspect, time.Time]
 	// quarantined holds the quarantined suspects with their companions.
 	quarantined map[Suspect][]Suspect
+	// granted holds the times up to which this process may use a trial.
+	granted     map[Suspect]time.Time
 	transitions []Transition
 }
 
@@ -85,7 +87,9 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Table{states: map[Suspect]*suspectState{}, provenAt: provenAt, quarantined: map[Suspect][]Suspect{}}
+	return &Table{
+		states: map[Suspect]*suspectState{}, provenAt: provenAt, quarantined: map[Suspect][]Suspect{}, granted: map[Suspect]time.Time{},
+	}
 }
 
 // RecordCrash records that a run of a target crashed under a request. It returns what is
@@ -139,6 +143,7 @@
 		for _, crash := range records[i].Crashes {
 			changed = t.add(now, records[i].Suspect, crash) || changed
 		}
+		changed = t.mergeTrials(now, &records[i]) || changed
 	}
 	if changed {
 		t.update()
@@ -156,7 +161,7 @@
 	}
 	state, ok := t.states[suspect]
 	if !ok {
-		state = &suspectState{crashes: map[fleet.Boot]*Crash{}}
+		state = &suspectState{crashes: map[fleet.Boot]*Crash{}, trials: map[string]int64{}}
 		t.states[suspect] = state
 	}
 	known, ok := state.crashes[crash.Target]
@@ -176,6 +181,23 @@
 	return true
 }
 
+// mergeTrials adds the trials of a suspect whose crashes are known, and reports whether any
+// was new. The caller must hold t.mu.
+func (t *Table) mergeTrials(now time.Time, record *Record) bool {
+	state, ok := t.states[record.Suspect]
+	if !ok {
+		return false
+	}
+	changed := false
+	for _, trial := range record.Trials {
+		if _, known := state.trials[trial.ID]; !known {
+			state.trials[trial.ID] = min(trial.UnixMS, now.UnixMilli())
+			changed = true
+		}
+	}
+	return changed
+}
+
 // proven reports whether a suspect has recently been in a completed response. The caller
 // must hold t.mu.
 func (t *Table) proven(now time.Time, suspect Suspect) bool {
@@ -297,27 +319,20 @@
 
 // Missing reports whether the given records, merged into this table before, lack any
 // fact of Snapshot that matters to a process that knows nothing else: an open crash of a
-// suspect with minStoredCrashes of them, or that an open one of a suspect that has as many
-// in the records is cleared.
+// suspect with minStoredCrashes of them or a trial of it, or that an open crash of a suspect
+// that has as many in the records is cleared.
 func (t *Table) Missing(records []Record) bool {
-	held := make(map[Suspect]map[fleet.Boot]bool, len(records))
-	heldOpen := make(map[Suspect]int, len(records))
+	held := make(map[Suspect]*Record, len(records))
 	for i := range records {
-		suspect := records[i].Suspect
-		heldOpen[suspect] = records[i].openCrashes()
-		held[suspect] = make(map[fleet.Boot]bool, len(records[i].Crashes))
-		for _, crash := range records[i].Crashes {
-			held[suspect][crash.Target] = crash.Cleared
-		}
+		held[records[i].Suspect] = &records[i]
 	}
 	for _, record := range t.Snapshot() {
-		isSuspected := record.openCrashes() >= minStoredCrashes
-		isStored := heldOpen[record.Suspect] >= minStoredCrashes
-		for _, crash := range record.Crashes {
-			cleared, ok := held[record.Suspect][crash.Target]
-			if (isSuspected && !ok && !crash.Cleared) || (isStored && ok && crash.Cleared && !cleared) {
-				return true
-			}
+		stored, ok := held[record.Suspect]
+		if !ok {
+			stored = &Record{}
+		}
+		if record.hasMoreThan(stored) {
+			return true
 		}
 	}
 	return false
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -22,7 +22,7 @@
 // check returns the identifier of the suspect because of which a request with the given
 // parts is refused, or "".
 func check(table *Table, parts ...string) string {
-	suspect, _ := table.Check(prompt(parts...))
+	suspect, _ := table.Check(testStart, prompt(parts...))
 	return suspect.Part
 }
 
@@ -226,7 +226,7 @@
 		table := New()
 		crashing, beside := Request{Fingerprint: "crashing"}, Request{Fingerprint: "beside"}
 		isRefused := func(request Request) bool {
-			_, refused := table.Check(request)
+			_, refused := table.Check(testStart, request)
 			return refused
 		}
 		Convey("a request is refused once three runs of targets have crashed under it", func() {
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 type Record struct {
 	Suspect
 	Crashes []Crash `json:"crashes"`
+	// Trials holds the trials since the first of the crashes.
+	Trials []Trial `json:"trials,omitempty"`
 }
 
 // openCrashes returns the number of crashes that are not cleared.
@@ -36,6 +39,28 @@
 	return open
 }
 
+// hasMoreThan reports whether the record has facts that matter and that the stored record of
+// the same suspect lacks.
+func (r *Record) hasMoreThan(stored *Record) bool {
+	isSuspected := r.openCrashes() >= minStoredCrashes
+	isStored := stored.openCrashes() >= minStoredCrashes
+	cleared := make(map[fleet.Boot]bool, len(stored.Crashes))
+	for i := range stored.Crashes {
+		cleared[stored.Crashes[i].Target] = stored.Crashes[i].Cleared
+	}
+	for i := range r.Crashes {
+		crash := &r.Crashes[i]
+		wasCleared, ok := cleared[crash.Target]
+		if (isSuspected && !ok && !crash.Cleared) || (isStored && ok && crash.Cleared && !wasCleared) {
+			return true
+		}
+	}
+	isMissing := func(trial Trial) bool {
+		return !slices.ContainsFunc(stored.Trials, func(other Trial) bool { return other.ID == trial.ID })
+	}
+	return isSuspected && slices.ContainsFunc(r.Trials, isMissing)
+}
+
 // compareRelevance orders records with more open crashes first, then those with the
 // most recent crash.
 func compareRelevance(a, b Record) int {
@@ -58,6 +83,8 @@
 	// observedAt is the time at which this process itself last observed a crash, or
 	// that the suspect did not cause the crashes.
 	observedAt time.Time
+	// trials holds the times of the trials by ID, in Unix milliseconds.
+	trials map[string]int64
 }
 
 // add adds a crash that isn't known.
@@ -119,11 +146,28 @@
 	slices.SortFunc(r.Crashes, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(b.UnixMS, a.UnixMS), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Target.StartUnixMS, b.Target.StartUnixMS))
 	})
+	for id, unixMS := range s.trials {
+		r.Trials = append(r.Trials, Trial{ID: id, UnixMS: unixMS})
+	}
+	slices.SortFunc(r.Trials, func(a, b Trial) int { return cmp.Or(cmp.Compare(a.UnixMS, b.UnixMS), cmp.Compare(a.ID, b.ID)) })
 	return r
 }
 
-// expire drops the crashes from before the given time.
+// latestUnixMS returns the time of the latest crash or trial.
+func (s *suspectState) latestUnixMS() int64 {
+	latest := int64(0)
+	for _, crash := range s.crashes {
+		latest = max(latest, crash.UnixMS)
+	}
+	for _, unixMS := range s.trials {
+		latest = max(latest, unixMS)
+	}
+	return latest
+}
+
+// expire drops the crashes and trials from before the given time.
 func (s *suspectState) expire(beforeUnixMS int64) {
+	maps.DeleteFunc(s.trials, func(_ string, unixMS int64) bool { return unixMS < beforeUnixMS })
 	for run, crash := range s.crashes {
 		if crash.UnixMS < beforeUnixMS {
 			s.remove(run)
--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -19,6 +19,8 @@
 	// maxRepeatsAfterReunion that number for the crashing request.
 	maxCrashesAfterReunion = 5
 	maxRepeatsAfterReunion = 3
+	// waitStep is the time that passes at once.
+	waitStep = 8 * time.Second
 )
 
 var (
@@ -36,12 +38,15 @@
 	table  *Table
 	oracle *knowledge
 	cutOff bool
+	// readVersion is the version of the store's content that the process last read.
+	readVersion int
 }
 
 // storeCopy is the content of the store.
 type storeCopy struct {
 	records []Record
 	facts   map[fact]bool
+	version int
 }
 
 // world is a fleet of processes that run requests, exchange states and use a store.
@@ -51,6 +56,12 @@
 	store     storeCopy
 	copies    []storeCopy
 	crashes   int
+	// version counts the writes to the store.
+	version int
+	// trials counts the trials of each suspect, and restored is set once the store has been
+	// restored from an older copy, which may lack some.
+	trials   map[Suspect]int
+	restored bool
 	// requests counts the requests that come only once.
 	requests int
 	// partCrashes and requestCrashes tell what crashes targets.
@@ -86,7 +97,7 @@
 func (w *world) send(t *rapid.T) {
 	process := w.draw(t)
 	request := w.drawRequest(t)
-	if _, refused := process.table.Check(request); refused {
+	if _, refused := process.table.Check(w.now, request); refused {
 		return
 	}
 	if !w.doesCrash(request) {
@@ -111,8 +122,8 @@
 	w.changed = true
 	p.table.RecordCrash(w.now, target, request)
 	for _, suspect := range request.suspects() {
-		if !p.oracle.proven[suspect] {
-			p.oracle.learn(fact{suspect, target}, false)
+		if !p.oracle.isProven(w.now, suspect) {
+			p.oracle.learn(w.now, fact{suspect, target}, false)
 		}
 	}
 }
@@ -121,7 +132,7 @@
 	w.changed = true
 	p.table.RecordCompleted(w.now, request)
 	for _, suspect := range request.suspects() {
-		p.oracle.proven[suspect] = true
+		p.oracle.provenAt[suspect] = w.now
 		for f := range p.oracle.facts {
 			if f.suspect == suspect {
 				p.oracle.facts[f] = true
@@ -136,7 +147,7 @@
 	}
 	// Messages and the store together pass on all facts.
 	to.table.Merge(w.now, from.table.Snapshot())
-	to.oracle.merge(from.oracle.facts)
+	to.oracle.merge(w.now, from.oracle.facts)
 }
 
 func (w *world) write(p *testProcess) {
@@ -144,17 +155,49 @@
 	if !p.table.Missing(w.store.records) {
 		return
 	}
+	w.replaceStore(p)
+}
+
+func (w *world) replaceStore(p *testProcess) {
+	w.version++
 	w.copies = append(w.copies, w.store)
-	w.store = storeCopy{records: p.table.Snapshot(), facts: map[fact]bool{}}
+	w.store = storeCopy{records: p.table.Snapshot(), facts: map[fact]bool{}, version: w.version}
 	for f, cleared := range p.oracle.facts {
 		w.store.facts[f] = cleared
 	}
+	p.readVersion = w.version
+}
+
+// try begins a trial for a refused request, which a later request uses. The write fails if
+// the process doesn't know the store's content.
+func (w *world) try(t *rapid.T) {
+	process := w.draw(t)
+	suspect, due := process.table.DueTrial(w.now, w.drawRequest(t))
+	id := fmt.Sprint("trial-", w.version, "-", len(w.trials))
+	if !due || !process.table.AddTrial(w.now, suspect, id) {
+		return
+	}
+	if process.readVersion != w.store.version {
+		process.table.RemoveTrial(suspect, id)
+		w.read(process)
+		return
+	}
+	w.replaceStore(process)
+	process.table.Grant(w.now, suspect)
+	w.trials[suspect]++
+	if limit := max(maxPartTrials, maxRequestTrials); !w.restored && w.trials[suspect] > limit {
+		t.Fatalf("%d trials of %v", w.trials[suspect], suspect)
+	}
+	if suspect.Request != "" && !w.restored && w.trials[suspect] > maxRequestTrials {
+		t.Fatalf("%d trials of a request", w.trials[suspect])
+	}
 }
 
 func (w *world) read(p *testProcess) {
 	w.changed = true
+	p.readVersion = w.store.version
 	p.table.Merge(w.now, w.store.records)
-	p.oracle.merge(w.store.facts)
+	p.oracle.merge(w.now, w.store.facts)
 }
 
 // restart replaces a process by one that knows only what is in the store.
@@ -176,7 +219,7 @@
 func TestTableAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
-			now: testStart, store: storeCopy{facts: map[fact]bool{}},
+			now: testStart, store: storeCopy{facts: map[fact]bool{}}, trials: map[Suspect]int{},
 			partCrashes: rapid.Bool().Draw(t, "part crashes"), requestCrashes: rapid.Bool().Draw(t, "request crashes"),
 		}
 		for range rapid.SampledFrom([]int{1, 2, 4, 9, 103}).Draw(t, "processes") {
@@ -190,9 +233,12 @@
 			"cut":      func(t *rapid.T) { p := w.draw(t); p.cutOff = !p.cutOff },
 			"restart":  func(t *rapid.T) { w.restart(w.draw(t)) },
 			"join":     func(*rapid.T) { w.join() },
+			"wait":     func(*rapid.T) { w.now = w.now.Add(waitStep) },
+			"try":      w.try,
 			"restore": func(t *rapid.T) {
 				if len(w.copies) > 0 {
 					w.store = rapid.SampledFrom(w.copies).Draw(t, "copy")
+					w.restored = true
 				}
 			},
 			"": w.check,
@@ -205,7 +251,7 @@
 func (w *world) check(t *rapid.T) {
 	request := w.drawRequest(t)
 	for i, p := range w.processes {
-		if _, got := p.table.Check(request); got != p.oracle.refuses(request) {
+		if _, got := p.table.check(request); got != p.oracle.refuses(request) {
 			t.Fatalf("process %d refuses %v: %t, the oracle: %t, with %v", i, request, got, !got, p.oracle.facts)
 		}
 	}
@@ -239,7 +285,7 @@
 // not refused.
 func (w *world) crashUnlessRefused(request Request) bool {
 	all := w.exchangeAll()
-	if _, refused := all.table.Check(request); refused {
+	if _, refused := all.table.Check(w.now, request); refused {
 		return false
 	}
 	w.crash(all, request)
@@ -258,7 +304,7 @@
 	w.crashUntilRefused(t)
 	w.exchangeAll()
 	for i, p := range w.processes {
-		if _, refused := p.table.Check(sound); refused {
+		if _, refused := p.table.check(sound); refused {
 			t.Fatalf("process %d refuses a sound request", i)
 		}
 		w.checkRefusals(t, i, p)
@@ -267,11 +313,11 @@
 
 // checkRefusals checks that a process refuses all requests that crash targets.
 func (w *world) checkRefusals(t *rapid.T, number int, p *testProcess) {
-	if _, refused := p.table.Check(repeatedRequests[0]); w.requestCrashes && !refused {
+	if _, refused := p.table.check(repeatedRequests[0]); w.requestCrashes && !refused {
 		t.Fatalf("process %d does not refuse the crashing request", number)
 	}
 	for _, parts := range crashingRequests() {
-		if _, refused := p.table.Check(prompt(parts...)); w.partCrashes && !refused {
+		if _, refused := p.table.check(prompt(parts...)); w.partCrashes && !refused {
 			t.Fatalf("process %d does not refuse %v after %d crashes", number, parts, w.crashes)
 		}
 	}
--- /dev/null
+++ b/pkg/quarantine/trial.go
@@ -0,0 +1,92 @@
+package quarantine
+
+import "time"
+
+const (
+	// partTrialDelay and requestTrialDelay are the times after the latest crash or trial
+	// of a suspect before the next trial. A request concerns one caller, and is the cause
+	// nearly always; a part may concern all callers of a route.
+	partTrialDelay    = 10 * time.Second
+	requestTrialDelay = time.Minute
+	// maxPartTrials and maxRequestTrials are the numbers of trials, and of crashes above
+	// minCrashes, of a quarantined suspect together.
+	maxPartTrials    = 2
+	maxRequestTrials = 1
+	// grantTTL is the time for which a process may use its permission for a trial.
+	grantTTL = 10 * time.Second
+)
+
+// Trial is the permission of one process to send one request with a quarantined suspect to
+// a target. If the suspect is sound, the response clears it.
+type Trial struct {
+	// ID is unique over all processes.
+	ID string `json:"id"`
+	// UnixMS is the time at which the process requested the permission, on its clock.
+	UnixMS int64 `json:"unix_ms"`
+}
+
+// DueTrial returns the suspect because of which a request is refused, if the request would
+// show whether that is sound, and a trial is due.
+func (t *Table) DueTrial(now time.Time, request Request) (suspect Suspect, due bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspect, quarantined := t.check(request)
+	return suspect, quarantined && t.isConclusive(suspect, request) && t.isTrialDue(now, suspect)
+}
+
+// isConclusive reports whether a request with a quarantined suspect shows by its response
+// whether the suspect is sound: a request that was itself in a crash doesn't tell about the
+// parts of its prompt.
+func (t *Table) isConclusive(suspect Suspect, request Request) bool {
+	return suspect.Request != "" || !t.isSuspected(request)
+}
+
+func (t *Table) isTrialDue(now time.Time, suspect Suspect) bool {
+	delay, limit := requestTrialDelay, maxRequestTrials
+	if suspect.Part != "" {
+		delay, limit = partTrialDelay, maxPartTrials
+	}
+	state := t.states[suspect]
+	if state == nil || len(state.trials)+state.openCount-minCrashes >= limit {
+		return false
+	}
+	return now.UnixMilli()-state.latestUnixMS() >= delay.Milliseconds()
+}
+
+// AddTrial records a trial of a suspect, if one is due.
+func (t *Table) AddTrial(now time.Time, suspect Suspect, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, quarantined := t.quarantined[suspect]; !quarantined || !t.isTrialDue(now, suspect) {
+		return false
+	}
+	t.states[suspect].trials[id] = now.UnixMilli()
+	return true
+}
+
+// RemoveTrial removes a trial that did not get into the store.
+func (t *Table) RemoveTrial(suspect Suspect, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if state, ok := t.states[suspect]; ok {
+		delete(state.trials, id)
+	}
+}
+
+// Grant lets the next request through that is refused because of a suspect.
+func (t *Table) Grant(now time.Time, suspect Suspect) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.granted[suspect] = now.Add(grantTTL)
+}
+
+// takeGrant reports whether a request may be sent in spite of a quarantined suspect, and
+// uses up the permission. The caller must hold t.mu.
+func (t *Table) takeGrant(now time.Time, suspect Suspect, request Request) bool {
+	until, ok := t.granted[suspect]
+	if !ok || !t.isConclusive(suspect, request) {
+		return false
+	}
+	delete(t.granted, suspect)
+	return now.Before(until)
+}
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // derive returns the quarantined suspects with their companions.
@@ -74,10 +75,19 @@
 }
 
 // Check returns the quarantined suspect because of which a request must not be sent to a
-// target, if there is one.
-func (t *Table) Check(request Request) (suspect Suspect, quarantined bool) {
+// target, if there is one. A request that this process may send as a trial is let through.
+func (t *Table) Check(now time.Time, request Request) (suspect Suspect, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	suspect, quarantined = t.check(request)
+	if quarantined && t.takeGrant(now, suspect, request) {
+		return Suspect{}, false
+	}
+	return suspect, quarantined
+}
+
+// check is like Check, without trials. The caller must hold t.mu.
+func (t *Table) check(request Request) (suspect Suspect, quarantined bool) {
 	if len(t.quarantined) == 0 {
 		return Suspect{}, false
 	}
@@ -96,6 +106,10 @@
 func (t *Table) IsSuspected(request Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.isSuspected(request)
+}
+
+func (t *Table) isSuspected(request Request) bool {
 	if len(t.states) == 0 {
 		return false
 	}
