--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -32,6 +32,9 @@
 	// LastEventID is the event after which a stream resumes; empty for a new
 	// stream.
 	LastEventID string
+	// ResumedID is the ID of the request that brought the first event of a stream that
+	// resumes; empty if the caller doesn't name one.
+	ResumedID string
 }
 
 // SharedParts returns the parts of the prompt that other requests may share.
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -175,13 +175,13 @@
 }
 
 // putTarget replaces a target's entry. It logs the target if it is new, has
-// restarted, has changed its address or has started or stopped draining.
+// restarted, has changed its address or software, or has started or stopped draining.
 func (e *Entry) putTarget(target fleet.Target, revision uint64) {
 	if target.Draining {
 		e.leaving.tellPeers(e.uptime(), target.Boot())
 	}
 	old, listed := e.directory.Get(target.ID)
-	if !listed || old.Draining != target.Draining || old.StartUnixMS != target.StartUnixMS || old.Address != target.Address {
+	if !listed || old.Draining != target.Draining || old.Boot() != target.Boot() || old.Address != target.Address || old.SoftwareVersion != target.SoftwareVersion {
 		e.logTarget(&target, revision)
 	}
 	e.directory.Put(e.uptime(), target)
@@ -189,7 +189,7 @@
 
 func (e *Entry) logTarget(t *fleet.Target, revision uint64) {
 	e.log.Log(eventlog.TargetListed, "target", t.ID, "service", t.Service, "address", t.Address,
-		"data_centre", t.DataCentre, "draining", t.Draining, "born", t.StartUnixMS, "revision", revision)
+		"data_centre", t.DataCentre, "draining", t.Draining, "born", t.StartUnixMS, "software", t.SoftwareVersion, "revision", revision)
 }
 
 func (e *Entry) removeTarget(id string, revision uint64) {
--- a/pkg/fleet/target.go
+++ b/pkg/fleet/target.go
@@ -9,8 +9,10 @@
 	Service    string
 	Address    string
 	DataCentre string
-	Slots      int
-	Draining   bool
+	// SoftwareVersion is the version of the target's software. Versions have no order.
+	SoftwareVersion string
+	Slots           int
+	Draining        bool
 	// Models maps the models that the target serves to their weights
 	// versions.
 	Models map[string]int64
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -81,7 +81,8 @@
 		"cached_tokens", choice.CachedTokens, "import", choice.Import.String(), "import_from", choice.ImportAddress, "save", choice.SaveToStore, "prompt_tokens", q.meta.PromptTokens,
 		"prefix", strconv.FormatUint(choice.Prefix, 16), "primary", choice.Primary, "recomputed_tokens", choice.RecomputedTokens, "candidates", choice.Candidates,
 		"load_age_ms", choice.LoadAge.Milliseconds(), "config", q.config.Version, "left_ms", q.remaining().Milliseconds(),
-		"parts", strings.Join(q.sharedParts, ","), "fingerprint", q.fingerprint)
+		"parts", strings.Join(q.sharedParts, ","), "fingerprint", q.fingerprint,
+		"software", choice.Target.SoftwareVersion, "resume_from", a.resumeFrom, "resumes", q.meta.ResumedID)
 }
 
 // runAttempt exchanges the request and the response with the target. The fields of
