Continue a stream at its own software version only

Cause: the next target of a stream that breaks off, and the standby beside a silent one, were chosen by cache and load; the version of a target wasn't known. Class: what a continuation depends on is not carried with it.

A request remembers the software version of the target that wrote its first event, and asks for targets of that version from then on. Before the first event any version will do. If no target of the version is registered any more, the response ends at once (no_target_of_version); while one is, it waits as before, since a crashed target may come back.

--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -68,6 +68,7 @@
 		{"all targets excluded", func(*Balancer, []fleet.Target) {}, &Request{
 			Service: "s", Excluded: map[string]bool{"e0": true, "e1": true, "e2": true},
 		}, ReasonNoTarget},
+		{"software version that no target has", func(*Balancer, []fleet.Target) {}, &Request{Service: "s", SoftwareVersion: new("1.1")}, ReasonNoTarget},
 		{"all weights past the version deadline", func(b *Balancer, _ []fleet.Target) {
 			b.AnnounceVersion(now-deadline, model, 2)
 		}, newRequest("p", 0, 10), ReasonLoading},
@@ -95,6 +96,16 @@
 		_, refusal := b.Pick(now, newRequest("p", 0, 10), targets)
 		So(refusal, ShouldBeNil)
 	})
+	Convey("A request for a software version goes to targets of that version only, also if they have been tried", t, func() {
+		b, targets := newBalancer("dc0"), engines(4)
+		targets[3].SoftwareVersion = "1.1"
+		request := Request{Service: "s", SoftwareVersion: new("1.1"), Allowed: map[string]bool{"e0": true, "e3": true}}
+		for range 20 {
+			choice, refusal := b.Pick(now, &request, targets)
+			So(refusal, ShouldBeNil)
+			So(choice.Target.ID, ShouldEqual, "e3")
+		}
+	})
 	Convey("A target without progress on its pending requests is avoided", t, func() {
 		b, targets := newBalancer("dc0"), engines(2)
 		choice, _ := b.Pick(now, newRequest("p", 0, 10), targets[:1])
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -96,13 +96,13 @@
 	return nil, &Refusal{Reason: ReasonLimited, RetryAfter: wait}
 }
 
-// servingTargets returns the non-excluded targets of the service that serve
+// servingTargets returns the targets of the service that the request allows, that serve
 // the model and are not draining.
 func (b *Balancer) servingTargets(req *Request, targets []fleet.Target) []candidate {
 	list := make([]candidate, 0, len(targets))
 	for i := range targets {
 		t := &targets[i]
-		if t.Service != req.Service || t.Draining || !req.allows(t.ID) {
+		if t.Service != req.Service || t.Draining || !req.allows(t) {
 			continue
 		}
 		s := b.targetState(t.Boot())
@@ -129,13 +129,16 @@
 	return earliest - now
 }
 
-// allows reports whether a target may be chosen, given those that have been
-// tried.
-func (r *Request) allows(id string) bool {
+// allows reports whether a target may be chosen, given its software version and the
+// targets that have been tried.
+func (r *Request) allows(target *fleet.Target) bool {
+	if r.SoftwareVersion != nil && *r.SoftwareVersion != target.SoftwareVersion {
+		return false
+	}
 	if r.Allowed != nil {
-		return r.Allowed[id]
+		return r.Allowed[target.ID]
 	}
-	return !r.Excluded[id]
+	return !r.Excluded[target.ID]
 }
 
 func selectCandidates(list []candidate, ok func(*candidate) bool) []candidate {
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,18 +19,31 @@
 	}
 	req := q.balanceRequest()
 	req.Excluded, req.Allowed = excluded, allowed
-	choice, rejection := relay.Balancer.Pick(relay.Now(), req, relay.Targets())
+	targets := relay.Targets()
+	choice, rejection := relay.Balancer.Pick(relay.Now(), req, targets)
 	if rejection == nil {
 		return choice, nil
 	}
+	reason, gone := rejection.Reason, !q.hasStreamVersion(targets)
+	if gone {
+		reason = "no_target_of_version"
+	}
 	if q.wroteHeader {
-		return choice, &refusal{status: http.StatusBadGateway, reason: rejection.Reason, mayHaveRun: true}
+		return choice, &refusal{status: http.StatusBadGateway, reason: reason, mayHaveRun: true, permanent: gone}
 	}
-	return choice, &refusal{status: http.StatusServiceUnavailable, reason: rejection.Reason, retryAfter: rejection.RetryAfter}
+	return choice, &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: rejection.RetryAfter, permanent: gone}
+}
+
+// hasStreamVersion reports whether any target has the software version that began the
+// request's stream. If none has, it can't go on.
+func (q *request) hasStreamVersion(targets []fleet.Target) bool {
+	return q.streamVersion == nil || slices.ContainsFunc(targets, func(target fleet.Target) bool {
+		return target.Service == q.service && target.SoftwareVersion == *q.streamVersion
+	})
 }
 
 func (q *request) balanceRequest() *balance.Request {
-	req := &balance.Request{Service: q.service, MaxExpectedTTFB: q.maxFirstByteWait()}
+	req := &balance.Request{Service: q.service, SoftwareVersion: q.streamVersion, MaxExpectedTTFB: q.maxFirstByteWait()}
 	service, ok := q.config.Services[q.service]
 	if !ok || !service.HasEngines || q.meta.Model == "" {
 		return req
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -142,7 +142,10 @@
 	// eventCount the number of those events.
 	lastEventID string
 	eventCount  int
-	firstByte   time.Duration
+	// streamVersion is the software version that wrote the events of the stream that the
+	// caller has; nil if it has none. Only targets of that version can go on with it.
+	streamVersion *string
+	firstByte     time.Duration
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -70,6 +70,7 @@
 	q.copyHeader(a.exchange.Response)
 	q.w.WriteHeader(a.exchange.Response.StatusCode)
 	q.wroteHeader = true
+	q.streamVersion = &a.choice.Target.SoftwareVersion
 }
 
 // trackEvents counts the events and records the last event ID, from which the
