Go on with a stream that a caller takes up at the version that began it

What callers saw: a stream that was cut, and that its caller took up again, went on at a target of another software version: two halves that don't fit together (docs/incidents/mixed-streams.md).

Cause: a process knew nothing of a stream that another one had begun, nor did it read which request had begun it. Class: what a continuation depends on ends with the process that knows it.

While a service has targets of several software versions (30 s after the last one of a version has left included), a process tells three others, chosen by the stream's key among all members, which version began a stream, before the first event goes to the caller. A process that is asked to go on knows the version if there is only one, or from its own table, or asks these three, 100 ms at most. If none knows, the request is refused with 503 before it runs: a guess would be an answer of two halves that nobody notices. Keys are hashes of account, service and request ID.

Weighed: telling all (1,200 streams a second on the large site, 102 messages each), the store (calls are dear), the version as a function of the ID (what when the mix changes?), asking all. See docs/design/stream-versions.md.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -125,6 +125,8 @@
 	unreachable  *unreachableReports
 	drainReports *drainReporter
 	quarantine   *quarantineKeeper
+	// streamOrigins holds the software versions that began streams.
+	streamOrigins *streamOrigins
 	// hubSequence counts the states of the own group that this process has sent.
 	// Only the goroutine that sends them uses it.
 	hubSequence     uint64
@@ -170,6 +172,7 @@
 	e.unreachable = newUnreachableReports()
 	e.drainReports = newDrainReporter(e)
 	e.quarantine = newQuarantineKeeper(e)
+	e.streamOrigins = newStreamOrigins(e)
 	var err error
 	e.gossip, err = gossip.New(gossip.Config{
 		Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)),
@@ -194,6 +197,7 @@
 		OnLeaving:     e.leaving.observe,
 		OnLimit:       e.recordLimit,
 		Quarantine:    e.quarantine,
+		StreamOrigins: e.streamOrigins,
 		Stopping:      e.stopping.Load,
 		Refusing:      e.refusing.Load,
 		DrainExpired:  e.drainExpired,
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -78,6 +78,10 @@
 	if !member {
 		return
 	}
+	if m.AboutStreams() {
+		e.streamOrigins.handle(&m)
+		return
+	}
 	now := e.uptime()
 	e.applyNews(now, m.Sender, &m.News)
 	if sameGroup && !m.Partial {
--- a/pkg/entry/topology.go
+++ b/pkg/entry/topology.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/gossip"
+	"github.com/baobabhub/baobabhub/pkg/streamorigin"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
 
@@ -124,6 +125,30 @@
 	return p.member.Address, true
 }
 
+// address returns the message address of another process.
+func (m *memberList) address(vm string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.byVM[vm]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	return p.member.Address, true
+}
+
+// witnesses returns the other processes that are told of a stream.
+func (m *memberList) witnesses(key streamorigin.Key) []gossip.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var witnesses []gossip.Member
+	for _, vm := range streamorigin.Witnesses(key, append(m.names(), m.entry.settings.VM)) {
+		if p, ok := m.byVM[vm]; ok {
+			witnesses = append(witnesses, p.member)
+		}
+	}
+	return witnesses
+}
+
 // heardCount returns the number of peers whose states arrive, directly or with
 // the state of their group.
 func (m *memberList) heardCount() int {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -225,8 +225,12 @@
 }
 
 // recordIfNewer reports whether a message is newer than all earlier messages
-// from the sender's current run, and records it if so.
+// from the sender's current run, and records it if so. Messages about streams are no
+// states: a later one doesn't replace an earlier one.
 func (g *Gossip) recordIfNewer(m *Message) bool {
+	if m.AboutStreams() {
+		return true
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	key := senderKey{sender: m.Sender, partial: m.Partial}
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -11,6 +11,7 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip/gossippb"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
+	"github.com/baobabhub/baobabhub/pkg/streamorigin"
 	"github.com/baobabhub/baobabhub/pkg/targetlimit"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
@@ -34,6 +35,24 @@
 	DrainReport bool
 	// Groups holds the states of whole groups.
 	Groups []Group
+	// StreamOrigins tells where streams began, and StreamQuestions lists the streams of
+	// which the sender wants to know that. A message with any of them holds nothing else
+	// and may arrive in any order.
+	StreamOrigins   []StreamOrigin
+	StreamQuestions []streamorigin.Key
+}
+
+// StreamOrigin is what a process knows of the begin of a stream.
+type StreamOrigin struct {
+	Key streamorigin.Key
+	// Known is set if the process knows the software version of the target that began it.
+	Known           bool
+	SoftwareVersion string
+}
+
+// AboutStreams reports whether the message is about the begin of streams.
+func (m *Message) AboutStreams() bool {
+	return len(m.StreamOrigins) > 0 || len(m.StreamQuestions) > 0
 }
 
 // News is the part of a message that concerns every process.
@@ -127,6 +146,12 @@
 			Id: e.ID, BornUnixMs: e.StartUnixMS, Model: e.Model, Version: e.Version, FreeMs: uint32(e.CordonedMS), LoadingMs: uint32(e.LoadingMS),
 		})
 	}
+	for _, o := range m.StreamOrigins {
+		state.StreamOrigins = append(state.StreamOrigins, &gossippb.StreamOrigin{Key: uint64(o.Key), Known: o.Known, SoftwareVersion: o.SoftwareVersion})
+	}
+	for _, key := range m.StreamQuestions {
+		state.StreamQuestions = append(state.StreamQuestions, uint64(key))
+	}
 	for i := range m.Groups {
 		g := &m.Groups[i]
 		state.Groups = append(state.Groups, &gossippb.Group{Name: g.Name, Processes: uint32(g.Processes), State: g.State.state()})
@@ -232,6 +257,12 @@
 	m.Unreachable = decodeBoots(state.GetUnreachable())
 	m.Suspects = decodeSuspects(state.GetSuspects())
 	m.Limits = decodeLimits(state.GetLimits())
+	for _, o := range state.GetStreamOrigins() {
+		m.StreamOrigins = append(m.StreamOrigins, StreamOrigin{Key: streamorigin.Key(o.GetKey()), Known: o.GetKnown(), SoftwareVersion: o.GetSoftwareVersion()})
+	}
+	for _, key := range state.GetStreamQuestions() {
+		m.StreamQuestions = append(m.StreamQuestions, streamorigin.Key(key))
+	}
 	for _, u := range state.GetUsage() {
 		m.Usage[u.GetAccount()] = tokenrate.Usage{Admitted: float64(u.GetAdmitted()), Level: float64(u.GetLevel())}
 	}
--- /dev/null
+++ b/pkg/relay/origins.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
+
+// StreamRef identifies a stream by the request that brought its first event.
+type StreamRef struct {
+	Account   string
+	Service   string
+	RequestID string
+}
+
+// StreamOrigins knows which software version of a service's targets began each stream.
+type StreamOrigins interface {
+	// Began is called before the first event of a stream that callers may take up is
+	// written to its caller. It must not block.
+	Began(stream StreamRef, softwareVersion string)
+	// Version returns the software version that began the stream that a request takes up,
+	// if that is known. The stream's request ID is empty if the caller doesn't name it. It
+	// waits for other processes for a short time.
+	Version(ctx context.Context, requestID string, stream StreamRef) (softwareVersion string, known bool)
+}
+
+// noOrigins implements StreamOrigins for a relay whose targets all have one software version.
+type noOrigins struct{}
+
+func (noOrigins) Began(StreamRef, string) {}
+
+func (noOrigins) Version(context.Context, string, StreamRef) (string, bool) { return "", true }
+
+// resolveStreamVersion finds the software version that has to go on with the stream that the
+// request takes up. It returns a refusal if that is not known: a guess might join the halves
+// of two streams that don't fit together.
+func (q *request) resolveStreamVersion() *refusal {
+	takesUp := q.meta.LastEventID != "" || q.meta.ResumedID != ""
+	if !takesUp || q.route.Kind != fleet.Stream || !q.route.Resumable {
+		return nil
+	}
+	version, known := q.relay.StreamOrigins.Version(q.r.Context(), q.meta.ID, q.streamRef(q.meta.ResumedID))
+	if !known {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stream_origin_unknown", retryAfter: notRunRetryAfter}
+	}
+	q.streamVersion = &version
+	return nil
+}
+
+// recordStreamVersion records which software version writes the stream, before its first
+// event is written to the caller.
+func (q *request) recordStreamVersion(a *attempt) {
+	if q.route.Kind != fleet.Stream {
+		return
+	}
+	q.streamVersion = &a.choice.Target.SoftwareVersion
+	if q.route.Resumable {
+		q.relay.StreamOrigins.Began(q.streamRef(q.meta.ID), *q.streamVersion)
+	}
+}
+
+func (q *request) streamRef(requestID string) StreamRef {
+	return StreamRef{Account: q.accountName(), Service: q.service, RequestID: requestID}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -62,6 +62,9 @@
 	// Quarantine knows what crashes targets. If it is nil, no request is refused because of
 	// crashes.
 	Quarantine Quarantine
+	// StreamOrigins knows the software versions that began streams. If it is nil, all
+	// targets are taken to have the same one.
+	StreamOrigins StreamOrigins
 	// Stopping reports whether the process is stopping, in which case
 	// connections are closed after the response.
 	Stopping func() bool
@@ -88,6 +91,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = noQuarantine{}
 	}
+	if config.StreamOrigins == nil {
+		config.StreamOrigins = noOrigins{}
+	}
 	return &Relay{Config: config, instruments: newInstruments(config.Metrics)}
 }
 
@@ -166,8 +172,8 @@
 	q.sendWithRetries(ctx)
 }
 
-// prepare resolves the request's route, account and service, reads the body and
-// charges the account.
+// prepare resolves the request's route, account and service and the origin of a stream
+// that it takes up, reads the body and charges the account.
 func (q *request) prepare() *refusal {
 	q.config = q.relay.CurrentConfig()
 	if q.config == nil {
@@ -193,6 +199,9 @@
 	}
 	q.fingerprint = q.requestFingerprint()
 	q.service = q.chooseService()
+	if refusal := q.resolveStreamVersion(); refusal != nil {
+		return refusal
+	}
 	return q.admit()
 }
 
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -67,10 +67,10 @@
 		return
 	}
 	q.firstByte = now
+	q.recordStreamVersion(a)
 	q.copyHeader(a.exchange.Response)
 	q.w.WriteHeader(a.exchange.Response.StatusCode)
 	q.wroteHeader = true
-	q.streamVersion = &a.choice.Target.SoftwareVersion
 }
 
 // trackEvents counts the events and records the last event ID, from which the
