--- a/pkg/entry/trials.go
+++ b/pkg/entry/trials.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-
 	"time"
 
 	"github.com/juju/errors"
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -159,6 +159,9 @@
 	// injected.
 	configuration  platformfake.Configuration
 	weightsVersion int
+	// faultPeriods holds the faults of processes and of the store; it is guarded by
+	// recorder.mu.
+	faultPeriods []faultPeriod
 	// targetStates holds the state in each target's registry entry; it is guarded
 	// by recorder.mu.
 	targetStates []string
@@ -174,6 +177,7 @@
 	d.putConfiguration()
 	for i := range targets {
 		target := platformfake.NewTarget(fmt.Sprintf("i-%d", i))
+		target.SetSoftwareVersion(softwareVersion(i))
 		target.SetHandler(d.recorder.targetHandler(target))
 		link, err := linkfake.Start(target.Address())
 		d.requireNoError(err)
@@ -189,6 +193,43 @@
 	return d
 }
 
+// allProcesses is the process of a fault of the store.
+const allProcesses = -1
+
+// faultPeriod is a period in which a process was stopped, killed, paused or had a faulty link
+// to the store, or in which the store failed.
+type faultPeriod struct {
+	process    int
+	start, end time.Time
+}
+
+// beginFaultPeriod begins a fault of a process. The returned function ends it.
+func (d *deployment) beginFaultPeriod(process int) (end func()) {
+	start := time.Now()
+	return func() {
+		d.recorder.mu.Lock()
+		defer d.recorder.mu.Unlock()
+		d.faultPeriods = append(d.faultPeriods, faultPeriod{process: process, start: start, end: time.Now()})
+	}
+}
+
+// hadNoFault reports whether a process and the store had no fault in a period.
+func (d *deployment) hadNoFault(process int, from, to time.Time) bool {
+	d.recorder.mu.Lock()
+	defer d.recorder.mu.Unlock()
+	for _, period := range d.faultPeriods {
+		concerns := period.process == process || period.process == allProcesses
+		if concerns && period.start.Before(to) && period.end.After(from) {
+			return false
+		}
+	}
+	return true
+}
+
+// softwareVersion returns the software version of the n-th target. The first two of three have
+// the same one, so that streams can go on at another target.
+func softwareVersion(n int) string { return []string{"v1", "v1", "v2"}[n%3] }
+
 func (d *deployment) requireNoError(err error) {
 	d.t.Helper()
 	if err != nil {
