Messages stay small while many requests are quarantined

Each state message, ten a second to up to 20 peers, held all quarantined suspects with their crashes, up to 100 of them, for 30 minutes. With parts of prompts there was one or two; requests that crash targets may be many.

A message holds what the process has just observed, and one of the other quarantined suspects at random, for processes that missed it; those that start read the store. With 20 quarantined requests of three crashes that is 3 crashes a message in place of 60 (counted in TestNewsOfManyQuarantines, which was red with 20 records before).

--- a/pkg/quarantine/exchange.go
+++ b/pkg/quarantine/exchange.go
@@ -17,16 +17,20 @@
 	maxNewsCrashes = 100
 )
 
-// News returns the quarantined suspects and those of which this process has observed
-// something within newsTTL, for the other processes. What it learned from others is not
-// passed on, which bounds the messages. The most relevant suspects come first.
+// News returns the suspects of which this process has observed something within newsTTL,
+// for the other processes, and one of the others that are quarantined, at random, for those
+// that have missed it. What it learned from others is not passed on otherwise, which bounds
+// the messages. The most relevant suspects come first.
 func (t *Table) News(now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var news []Record
+	repeated := false
 	for suspect, state := range t.states {
 		_, quarantined := t.quarantined[suspect]
-		if quarantined || now.Sub(state.observedAt) <= newsTTL {
+		isRecent := now.Sub(state.observedAt) <= newsTTL
+		if isRecent || (quarantined && !repeated) {
+			repeated = repeated || !isRecent
 			news = append(news, state.record(suspect))
 		}
 	}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -219,6 +219,30 @@
 	})
 }
 
+// TestNewsOfManyQuarantines answers the pattern of many requests that are quarantined at the same
+// time: messages stay small, and a process that has missed them learns of all soon.
+func TestNewsOfManyQuarantines(t *testing.T) {
+	Convey("Given a process with many quarantined requests", t, func() {
+		const requests = 20
+		observer, other := New(), New()
+		for n := range requests {
+			for crash := range minCrashes {
+				observer.RecordCrash(testStart, run(n*minCrashes+crash), Request{Fingerprint: fmt.Sprint("crashing-", n)})
+			}
+		}
+		Convey("each later message is about one of them", func() {
+			now := testStart.Add(2 * newsTTL)
+			for range 100 * requests {
+				news := observer.News(now)
+				So(news, ShouldHaveLength, 1)
+				other.Merge(now, news)
+			}
+			quarantined, _ := other.Quarantined()
+			So(quarantined, ShouldEqual, requests)
+		})
+	})
+}
+
 // TestRequestsThatComeAgain answers the pattern of one request that crashes each target that
 // runs it, at a service whose requests have no prompts.
 func TestRequestsThatComeAgain(t *testing.T) {
