--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -25,19 +25,12 @@
 	Version(ctx context.Context, requestID string, stream StreamRef) (softwareVersion string, known bool)
 }
 
-// noOrigins implements StreamOrigins for a relay whose targets all have one software version.
-type noOrigins struct{}
-
-func (noOrigins) Began(StreamRef, string) {}
-
-func (noOrigins) Version(context.Context, string, StreamRef) (string, bool) { return "", true }
-
 // resolveStreamVersion finds the software version that has to go on with the stream that the
 // request takes up. It returns a refusal if that is not known: a guess might join the halves
 // of two streams that don't fit together.
 func (q *request) resolveStreamVersion() *refusal {
 	takesUp := q.meta.LastEventID != "" || q.meta.ResumedID != ""
-	if !takesUp || q.route.Kind != fleet.Stream || !q.route.Resumable {
+	if !takesUp || !q.isResumableStream() || q.relay.StreamOrigins == nil {
 		return nil
 	}
 	version, known := q.relay.StreamOrigins.Version(q.r.Context(), q.meta.ID, q.streamRef(q.meta.ResumedID))
@@ -55,11 +48,16 @@
 		return
 	}
 	q.streamVersion = &a.choice.Target.SoftwareVersion
-	if q.route.Resumable {
+	if q.route.Resumable && q.relay.StreamOrigins != nil {
 		q.relay.StreamOrigins.Began(q.streamRef(q.meta.ID), *q.streamVersion)
 	}
 }
 
+// isResumableStream reports whether callers may take up the streams of the request's route.
+func (q *request) isResumableStream() bool {
+	return q.route.Kind == fleet.Stream && q.route.Resumable
+}
+
 func (q *request) streamRef(requestID string) StreamRef {
 	return StreamRef{Account: q.accountName(), Service: q.service, RequestID: requestID}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -62,8 +62,8 @@
 	// Quarantine knows what crashes targets. If it is nil, no request is refused because of
 	// crashes.
 	Quarantine Quarantine
-	// StreamOrigins knows the software versions that began streams. If it is nil, all
-	// targets are taken to have the same one.
+	// StreamOrigins knows the software versions that began streams. If it is nil, a stream
+	// that a caller takes up may go on at any target.
 	StreamOrigins StreamOrigins
 	// Stopping reports whether the process is stopping, in which case
 	// connections are closed after the response.
@@ -91,9 +91,6 @@
 	if config.Quarantine == nil {
 		config.Quarantine = noQuarantine{}
 	}
-	if config.StreamOrigins == nil {
-		config.StreamOrigins = noOrigins{}
-	}
 	return &Relay{Config: config, instruments: newInstruments(config.Metrics)}
 }
 
