--- a/pkg/entry/streamorigins.go
+++ b/pkg/entry/streamorigins.go
@@ -13,7 +13,7 @@
 )
 
 // originTimeout is the time for which a process waits for others to tell the origin of a
-// stream that a caller takes up.
+// stream that a caller resumes.
 const originTimeout = 100 * time.Millisecond
 
 // Sources of a stream's origin in the log, besides the names of peers.
@@ -62,7 +62,7 @@
 func (o *streamOrigins) Version(ctx context.Context, requestID string, stream relay.StreamRef) (softwareVersion string, known bool) {
 	start := o.entry.uptime()
 	softwareVersion, source := o.find(ctx, stream)
-	o.entry.log.Log(eventlog.StreamTakenUp, "request_id", requestID, "resumes", stream.RequestID, "service", stream.Service,
+	o.entry.log.Log(eventlog.StreamResumed, "request_id", requestID, "resumes", stream.RequestID, "service", stream.Service,
 		"software", softwareVersion, "source", source, "waited_ms", (o.entry.uptime() - start).Milliseconds())
 	return softwareVersion, source != originUnknown
 }
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -79,7 +79,7 @@
 		[]string{"fingerprint", "source"}}
 	TrialBegun = Event{951, "trial_begun", "This process may send one request with a quarantined fingerprint or part to a target. If that completes its response, the quarantine ends.",
 		[]string{"fingerprint", "part", "trial"}}
-	StreamTakenUp = Event{952, "stream_taken_up", "A caller takes up a stream. software is the version that began it, and source is who knew it: only_version if the service has only one, self, a peer, or unknown. resumes is the request that the caller says began it.",
+	StreamResumed = Event{952, "stream_resumed", "A caller resumes a stream. software is the version that began it, and source is who knew it: only_version if the service has only one, self, a peer, or unknown. resumes is the request that the caller says began it.",
 		[]string{"request_id", "resumes", "service", "software", "source", "waited_ms"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
@@ -91,5 +91,5 @@
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
-	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamTakenUp,
+	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed,
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -169,7 +169,7 @@
 	})
 }
 
-// TestSoftwareVersions checks which versions may have begun a stream that a caller takes up.
+// TestSoftwareVersions checks which versions may have begun a stream that a caller resumes.
 func TestSoftwareVersions(t *testing.T) {
 	Convey("Given a service with targets of one software version", t, func() {
 		d := NewDirectory()
--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -16,21 +16,21 @@
 
 // StreamOrigins knows which software version of a service's targets began each stream.
 type StreamOrigins interface {
-	// Began is called before the first event of a stream that callers may take up is
+	// Began is called before the first event of a stream that callers may resume is
 	// written to its caller. It must not block.
 	Began(stream StreamRef, softwareVersion string)
-	// Version returns the software version that began the stream that a request takes up,
+	// Version returns the software version that began the stream that a request resumes,
 	// if that is known. The stream's request ID is empty if the caller doesn't name it. It
 	// waits for other processes for a short time.
 	Version(ctx context.Context, requestID string, stream StreamRef) (softwareVersion string, known bool)
 }
 
 // resolveStreamVersion finds the software version that has to go on with the stream that the
-// request takes up. It returns a refusal if that is not known: a guess might join the halves
+// request resumes. It returns a refusal if that is not known: a guess might join the halves
 // of two streams that don't fit together.
 func (q *request) resolveStreamVersion() *refusal {
-	takesUp := q.meta.LastEventID != "" || q.meta.ResumedID != ""
-	if !takesUp || !q.isResumableStream() || q.relay.StreamOrigins == nil {
+	resumes := q.meta.LastEventID != "" || q.meta.ResumedID != ""
+	if !resumes || !q.isResumableStream() || q.relay.StreamOrigins == nil {
 		return nil
 	}
 	version, known := q.relay.StreamOrigins.Version(q.r.Context(), q.meta.ID, q.streamRef(q.meta.ResumedID))
@@ -53,7 +53,7 @@
 	}
 }
 
-// isResumableStream reports whether callers may take up the streams of the request's route.
+// isResumableStream reports whether callers may resume the streams of the request's route.
 func (q *request) isResumableStream() bool {
 	return q.route.Kind == fleet.Stream && q.route.Resumable
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -63,7 +63,7 @@
 	// crashes.
 	Quarantine Quarantine
 	// StreamOrigins knows the software versions that began streams. If it is nil, a stream
-	// that a caller takes up may go on at any target.
+	// that a caller resumes may continue at any target.
 	StreamOrigins StreamOrigins
 	// Stopping reports whether the process is stopping, in which case
 	// connections are closed after the response.
@@ -170,7 +170,7 @@
 }
 
 // prepare resolves the request's route, account and service and the origin of a stream
-// that it takes up, reads the body and charges the account.
+// that it resumes, reads the body and charges the account.
 func (q *request) prepare() *refusal {
 	q.config = q.relay.CurrentConfig()
 	if q.config == nil {
--- a/pkg/streamorigin/fleet_test.go
+++ b/pkg/streamorigin/fleet_test.go
@@ -44,7 +44,7 @@
 	})
 }
 
-// testStream is a stream that a caller may take up.
+// testStream is a stream that a caller may resume.
 type testStream struct {
 	key     Key
 	version string
@@ -89,9 +89,9 @@
 	}
 }
 
-// takeUp asks the witnesses of a stream, and compares the answer with the stream's version.
+// resume asks the witnesses of a stream, and compares the answer with the stream's version.
 // If the witnesses that were told are among those that are asked, the version is found.
-func (f *testFleet) takeUp(t *rapid.T) {
+func (f *testFleet) resume(t *rapid.T) {
 	if len(f.streams) == 0 {
 		return
 	}
@@ -158,7 +158,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"begin":   f.begin,
-			"take up": f.takeUp,
+			"resume":  f.resume,
 			"restart": func(t *rapid.T) { f.restart(f.draw(t)) },
 			"join":    func(*rapid.T) { f.join() },
 			"cut":     func(t *rapid.T) { p := f.draw(t); f.cut[p] = !f.cut[p] },
--- a/pkg/streamorigin/streamorigin.go
+++ b/pkg/streamorigin/streamorigin.go
@@ -1,5 +1,5 @@
 // Package streamorigin remembers which software version of a service's targets began each
-// stream, so that a stream that its caller takes up at another process goes on at a target
+// stream, so that a stream that its caller resumes at another process goes on at a target
 // of the same version.
 //
 // The process that begins a stream tells a few others, its witnesses, which any process can
@@ -28,7 +28,7 @@
 	// maxStreams bounds the streams that are remembered.
 	maxStreams = 10_000
 	// streamTTL is the time for which a stream is remembered. It exceeds the time in which
-	// callers take a stream up.
+	// callers resume a stream.
 	streamTTL = time.Minute
 )
 
