--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,5 +1,5 @@
 // Package quarantine finds what crashes targets, and tells which requests must not be sent
-// to any target because of it: requests that come again with the same content, or all
+// to any target because of it: repeated requests with the same content, or all
 // requests whose prompts have a certain part.
 //
 // Processes report the crash of a target for each request whose response it had not begun
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -243,9 +243,9 @@
 	})
 }
 
-// TestRequestsThatComeAgain answers the pattern of one request that crashes each target that
+// TestRepeatedRequests answers the pattern of one request that crashes each target that
 // runs it, at a service whose requests have no prompts.
-func TestRequestsThatComeAgain(t *testing.T) {
+func TestRepeatedRequests(t *testing.T) {
 	Convey("Given a table", t, func() {
 		table := New()
 		crashing, beside := Request{Fingerprint: "crashing"}, Request{Fingerprint: "beside"}
@@ -294,7 +294,7 @@
 				So(check(table, "common"), ShouldBeEmpty)
 			})
 		})
-		Convey("a part that crashes targets under requests of which each comes again is found after five crashes", func() {
+		Convey("a part that crashes targets under requests of which each is repeated is found after five crashes", func() {
 			for n := range 5 {
 				So(check(table, "bad"), ShouldBeEmpty)
 				table.RecordCrash(testStart, run(n), Request{Fingerprint: fmt.Sprint("again-", n/3), Parts: []string{"bad"}})
--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -25,7 +25,7 @@
 
 var (
 	allParts = []string{crashingTestPart, "common", "rare-1", "rare-2", "rare-3"}
-	// repeatedRequests holds the requests that come again and again.
+	// repeatedRequests holds the repeated requests.
 	repeatedRequests = []Request{
 		{Fingerprint: crashingTestRequest, Parts: []string{"common", "rare-3"}},
 		{Fingerprint: "sound-1", Parts: []string{"common", "rare-1"}},
@@ -74,7 +74,7 @@
 	return rapid.SampledFrom(w.processes).Draw(t, "process")
 }
 
-// drawRequest returns a request that comes again, or one with parts in a random order that
+// drawRequest returns a repeated request, or one with parts in a random order that
 // comes only once.
 func (w *world) drawRequest(t *rapid.T) Request {
 	if rapid.Bool().Draw(t, "repeated") {
@@ -324,7 +324,7 @@
 }
 
 // crashUntilRefused sends the crashing request and requests with the crashing part in turn,
-// those that are not refused. Some of the latter come again.
+// those that are not refused. Some of the latter are repeated.
 func (w *world) crashUntilRefused(t *rapid.T) {
 	crashing := crashingRequests()
 	repeats, crashes := 0, 0
--- a/pkg/quarantine/suspect.go
+++ b/pkg/quarantine/suspect.go
@@ -12,7 +12,7 @@
 
 // Request is what a caller's request has that may crash targets.
 type Request struct {
-	// Fingerprint identifies the request's content: a request that comes again has the
+	// Fingerprint identifies the request's content: a repeated request has the
 	// same one.
 	Fingerprint string
 	// Parts holds the identifiers of the parts of its prompt that other requests may
--- a/pkg/relay/fingerprint_test.go
+++ b/pkg/relay/fingerprint_test.go
@@ -20,7 +20,7 @@
 		}
 		return q.requestFingerprint()
 	}
-	Convey("A request that comes again has the same fingerprint", t, func() {
+	Convey("A repeated request has the same fingerprint", t, func() {
 		first := fingerprint("a", "POST", "h.example", "/x?y=1", "body")
 		So(first, ShouldHaveLength, 16)
 		So(fingerprint("a", "POST", "H.example:80", "/x?y=1", "body"), ShouldEqual, first)
--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -22,7 +22,7 @@
 	// crashingRequestInterval contains it.
 	crashingPart            = "dead"
 	crashingRequestInterval = 20
-	// crashingPath is the path of a request that crashes targets each time it comes again. Later
+	// crashingPath is the path of a request that crashes targets each time it is repeated. Later
 	// than contactBound after boundRepeats crashes, at most maxLaterCrashes may follow.
 	crashingPath       = "/safe/crash"
 	boundRepeats       = 3
@@ -213,7 +213,7 @@
 }
 
 // TestSoakCrashesAndLimits guards against targets that crash one after the other on one
-// part of prompts and on one request that comes again, and targets that get more than the limit that they name, while processes
+// part of prompts and on one repeated request, and targets that get more than the limit that they name, while processes
 // are killed, stopped and paused and the store fails.
 func TestSoakCrashesAndLimits(t *testing.T) {
 	runSeeds(t, nil, func(t *testing.T, seed uint64) {
