Count a crash soon after a response that broke off for another reason

A target that breaks off or garbles a response, and crashes within the next 2 s, was not found to have crashed, so that a request that crashes targets needed more crashes to be refused.

Cause: the result of an examination applied to all responses of the same run of the target for 2 s. That it has crashed stays true; that it accepts connections says nothing of later.

Only crashes are remembered. Each later broken response of a running target costs a connection, one at a time for each target.

--- a/pkg/entry/crashes.go
+++ b/pkg/entry/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"syscall"
 	"time"
@@ -23,9 +24,9 @@
 	probeDelay = 20 * time.Millisecond
 	// probeTimeout bounds that connection.
 	probeTimeout = 500 * time.Millisecond
-	// probeResultTTL is the time for which the result applies to further responses of
-	// the same run of the target.
-	probeResultTTL = 2 * time.Second
+	// crashResultTTL is the time for which it is remembered that a run of a target has
+	// crashed, for its responses that broke off at the same time.
+	crashResultTTL = 2 * time.Second
 )
 
 // brokenResponse is a response that a target broke off before or soon after its first
@@ -52,16 +53,16 @@
 	entry  *Entry
 	broken chan brokenResponse
 	probes chan probeResult
-	// waiting holds the responses whose targets are being examined, and results the
-	// latest results. Only run uses them.
+	// waiting holds the responses whose targets are being examined, and crashed the
+	// results for runs of targets that have crashed. Only run uses them.
 	waiting map[fleet.Boot][]brokenResponse
-	results map[fleet.Boot]probeResult
+	crashed map[fleet.Boot]probeResult
 }
 
 func newCrashDetector(entry *Entry) *crashDetector {
 	return &crashDetector{
 		entry: entry, broken: make(chan brokenResponse, maxBrokenResponses), probes: make(chan probeResult),
-		waiting: map[fleet.Boot][]brokenResponse{}, results: map[fleet.Boot]probeResult{},
+		waiting: map[fleet.Boot][]brokenResponse{}, crashed: map[fleet.Boot]probeResult{},
 	}
 }
 
@@ -87,10 +88,11 @@
 	}
 }
 
-// examine applies a recent result for the response's target, or requests one.
+// examine applies the result for the response's target if that has crashed, or requests one.
+// That a target accepted connections before says nothing of a later response.
 func (d *crashDetector) examine(ctx context.Context, response brokenResponse) {
 	run := response.target.Boot()
-	if result, ok := d.results[run]; ok && time.Since(result.at) < probeResultTTL {
+	if result, ok := d.crashed[run]; ok {
 		d.apply(&response, &result)
 		return
 	}
@@ -108,12 +110,10 @@
 		d.apply(&d.waiting[run][i], &result)
 	}
 	delete(d.waiting, run)
-	d.results[run] = result
-	for other, old := range d.results {
-		if time.Since(old.at) >= probeResultTTL {
-			delete(d.results, other)
-		}
+	if result.crashed {
+		d.crashed[run] = result
 	}
+	maps.DeleteFunc(d.crashed, func(_ fleet.Boot, old probeResult) bool { return time.Since(old.at) >= crashResultTTL })
 }
 
 func (d *crashDetector) apply(response *brokenResponse, result *probeResult) {
