A sound request in the same crashes as the deadly one has its trial after 10 s

A sound request that is repeated, and was beside the one that crashes targets in each of its three crashes without a completed response, was refused for 60 s like that one, though one of the two has to be sound.

A trial of a request is due after 10 s, as for parts, while another quarantined request explains its crashes. Still one trial for each request.

--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -301,6 +301,29 @@
 			}
 			So(check(table, "bad"), ShouldEqual, "bad")
 		})
+		Convey("of two requests in the same crashes, the sound one is soon shown to be so", func() {
+			for n := range minCrashes {
+				table.RecordCrash(testStart, run(n), crashing)
+				table.RecordCrash(testStart, run(n), beside)
+			}
+			So(isRefused(beside), ShouldBeTrue)
+			now := testStart.Add(trialDelay)
+			suspect, due := table.DueTrial(now, beside)
+			So(due, ShouldBeTrue)
+			So(table.AddTrial(now, suspect, "trial-1"), ShouldBeTrue)
+			table.Grant(now, suspect)
+			_, refused := table.Check(now, beside)
+			So(refused, ShouldBeFalse)
+			table.RecordCompleted(now, beside)
+			So(isRefused(beside), ShouldBeFalse)
+			So(isRefused(crashing), ShouldBeTrue)
+			Convey("and the other one, alone now, has a trial much later", func() {
+				_, due := table.DueTrial(testStart.Add(loneRequestTrialDelay-time.Millisecond), crashing)
+				So(due, ShouldBeFalse)
+				_, due = table.DueTrial(testStart.Add(loneRequestTrialDelay), crashing)
+				So(due, ShouldBeTrue)
+			})
+		})
 		Convey("a request and a part with the same identifier are not the same", func() {
 			for n := range minCrashes {
 				table.RecordCrash(testStart, run(n), crashing)
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -3,11 +3,13 @@
 import "time"
 
 const (
-	// partTrialDelay and requestTrialDelay are the times after the latest crash or trial
-	// of a suspect before the next trial. A request concerns one caller, and is the cause
-	// nearly always; a part may concern all callers of a route.
-	partTrialDelay    = 10 * time.Second
-	requestTrialDelay = time.Minute
+	// trialDelay and loneRequestTrialDelay are the times after the latest crash or trial of
+	// a suspect before the next trial. The latter is for a request that is in crashes which
+	// no other one explains: it concerns one caller, and is the cause nearly always. A part
+	// may concern all callers of a route, and of two requests in the same crashes one is
+	// sound.
+	trialDelay            = 10 * time.Second
+	loneRequestTrialDelay = time.Minute
 	// maxPartTrials and maxRequestTrials are the numbers of trials, and of crashes above
 	// minCrashes, of a quarantined suspect together.
 	maxPartTrials    = 2
@@ -42,17 +44,32 @@
 }
 
 func (t *Table) isTrialDue(now time.Time, suspect Suspect) bool {
-	delay, limit := requestTrialDelay, maxRequestTrials
+	limit := maxRequestTrials
 	if suspect.Part != "" {
-		delay, limit = partTrialDelay, maxPartTrials
+		limit = maxPartTrials
 	}
 	state := t.states[suspect]
 	if state == nil || len(state.trials)+state.openCount-minCrashes >= limit {
 		return false
 	}
+	delay := trialDelay
+	if suspect.Request != "" && !t.isAmbiguous(suspect) {
+		delay = loneRequestTrialDelay
+	}
 	return now.UnixMilli()-state.latestUnixMS() >= delay.Milliseconds()
 }
 
+// isAmbiguous reports whether another quarantined request explains the crashes of a request
+// as well.
+func (t *Table) isAmbiguous(request Suspect) bool {
+	for other := range t.quarantined {
+		if other != request && other.Request != "" && t.states[request].countWithout(t.states[other]) < minSeparateCrashes {
+			return true
+		}
+	}
+	return false
+}
+
 // AddTrial records a trial of a suspect, if one is due.
 func (t *Table) AddTrial(now time.Time, suspect Suspect, id string) bool {
 	t.mu.Lock()
