--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -13,7 +13,7 @@
 
 const (
 	crashingTestPart    = "bad"
-	crashingTestRequest = "deadly"
+	crashingTestRequest = "crashing"
 	// maxCrashesAfterReunion is the number of crashes after which no request with the
 	// crashing part may reach a target, once all processes are in contact, and
 	// maxRepeatsAfterReunion that number for the crashing request.
