--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -2,7 +2,7 @@
 
 // Entry process events.
 var (
-	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started. parts lists the parts of the prompt that other requests may share. fingerprint identifies account, method, path and body: a repeated request has the same one. software is the version of the target's software. resume_from is the event after which a stream goes on, and resumes the request that the caller says began it.",
+	AttemptBegun = Event{900, "attempt_begun", "An attempt to run a request at a target has started. parts lists the parts of the prompt that other requests may share. fingerprint identifies account, method, path and body: a repeated request has the same one. software is the version of the target's software. resume_from is the event after which a stream continues, and resumes the request that the caller says began it.",
 		[]string{"request_id", "route", "account", "try", "target", "weights", "expected_ms", "cached_tokens", "import", "import_from", "save", "prompt_tokens", "prefix", "primary", "recomputed_tokens", "candidates", "load_age_ms", "config", "left_ms", "parts", "fingerprint", "software", "resume_from", "resumes"}}
 	AttemptFailed = Event{901, "attempt_failed", "An attempt failed: the target refused the request, returned an error or did not complete the answer, or this process ended it; ended_by is target, or this process's reason: target_silent, superseded by another attempt, caller_left, deadline or stopping. first_event_age_ms is the time since the target's first event of a stream, or -1 if it sent none.",
 		[]string{"request_id", "try", "target", "outcome", "status", "sent", "took_ms", "first_event_age_ms", "ended_by", "err"}}
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -35,7 +35,7 @@
 }
 
 // hasStreamVersion reports whether any target has the software version that began the
-// request's stream. If none has, it can't go on.
+// request's stream. If none has, it can't continue.
 func (q *request) hasStreamVersion(targets []fleet.Target) bool {
 	return q.streamVersion == nil || slices.ContainsFunc(targets, func(target fleet.Target) bool {
 		return target.Service == q.service && target.SoftwareVersion == *q.streamVersion
--- a/pkg/relay/origins.go
+++ b/pkg/relay/origins.go
@@ -25,7 +25,7 @@
 	Version(ctx context.Context, requestID string, stream StreamRef) (softwareVersion string, known bool)
 }
 
-// resolveStreamVersion finds the software version that has to go on with the stream that the
+// resolveStreamVersion finds the software version that has to continue the stream that the
 // request resumes. It returns a refusal if that is not known: a guess might join the halves
 // of two streams that don't fit together.
 func (q *request) resolveStreamVersion() *refusal {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -146,7 +146,7 @@
 	lastEventID string
 	eventCount  int
 	// streamVersion is the software version that wrote the events of the stream that the
-	// caller has; nil if it has none. Only targets of that version can go on with it.
+	// caller has; nil if it has none. Only targets of that version can continue it.
 	streamVersion *string
 	firstByte     time.Duration
 }
--- a/pkg/streamorigin/streamorigin.go
+++ b/pkg/streamorigin/streamorigin.go
@@ -1,5 +1,5 @@
 // Package streamorigin remembers which software version of a service's targets began each
-// stream, so that a stream that its caller resumes at another process goes on at a target
+// stream, so that a stream that its caller resumes at another process continues at a target
 // of the same version.
 //
 // The process that begins a stream tells a few others, its witnesses, which any process can
--- a/test/soak/ledger_test.go
+++ b/test/soak/ledger_test.go
@@ -231,7 +231,7 @@
 		rec.streamVersions[id][version] = true
 	}
 	if !rec.streamVersions[id][version] {
-		rec.failures = append(rec.failures, fmt.Sprintf("stream %s goes on at software version %s, but began at %v", id, version, rec.streamVersions[id]))
+		rec.failures = append(rec.failures, fmt.Sprintf("stream %s continues at software version %s, but began at %v", id, version, rec.streamVersions[id]))
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -227,7 +227,7 @@
 }
 
 // softwareVersion returns the software version of the n-th target. The first two of three have
-// the same one, so that streams can go on at another target.
+// the same one, so that streams can continue at another target.
 func softwareVersion(n int) string { return []string{"v1", "v1", "v2"}[n%3] }
 
 func (d *deployment) requireNoError(err error) {
