A process is ready only once it knows what crashes targets

What callers saw: a restarted process served requests that the rest of the fleet refused, and crashed targets. Six targets crash under three requests; the other two processes had known for 1 and 6 s.

Cause: readiness waited for the configuration and the list of targets, not for the third list.

All three lists begin at the same time, so a process is ready later only if the third one is late.

--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -35,10 +35,13 @@
 type readiness struct {
 	configured    atomic.Bool
 	targetsListed atomic.Bool
+	// membersListed is set once the keys of the entry processes have been read, with
+	// what they know of requests that crash targets.
+	membersListed atomic.Bool
 }
 
 func (e *Entry) isReady() bool {
-	return e.ready.configured.Load() && e.ready.targetsListed.Load() && !e.stopping.Load()
+	return e.ready.configured.Load() && e.ready.targetsListed.Load() && e.ready.membersListed.Load() && !e.stopping.Load()
 }
 
 // serve serves callers, readiness checks and metrics until stopCtx is cancelled,
