A new process asks before it takes the only software version for the only one there was

What callers saw: a stream of two halves. Found by reading, not in a play: a stream begins at v1, the last target of v1 leaves, a process starts, and the caller resumes the stream there.

Cause: a process remembers a departed version for 30 s, but one that starts in that time never saw it. It took the version that is left for the only one, and did not ask the witnesses, who know the stream.

For as long as versions are remembered (DepartedSoftwareTTL) after its start, a process asks the witnesses first. If none knows the stream, it goes on at the only version as before: peers tell witnesses whenever they see two versions.

--- a/pkg/entry/streamorigins.go
+++ b/pkg/entry/streamorigins.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
 	"github.com/baobabhub/baobabhub/pkg/relay"
 	"github.com/baobabhub/baobabhub/pkg/streamorigin"
@@ -69,9 +70,26 @@
 
 // find returns the software version that began a stream, and who knew it.
 func (o *streamOrigins) find(ctx context.Context, stream relay.StreamRef) (softwareVersion, source string) {
-	if versions := o.versions(stream.Service); len(versions) == 1 {
+	versions := o.versions(stream.Service)
+	hasOneVersion := len(versions) == 1
+	if hasOneVersion && !o.mayMissVersions() {
 		return versions[0], originOnlyVersion
 	}
+	softwareVersion, source = o.lookUp(ctx, stream)
+	if source == originUnknown && hasOneVersion {
+		return versions[0], originOnlyVersion
+	}
+	return softwareVersion, source
+}
+
+// mayMissVersions reports whether a version that counts as present may have left before this
+// process started. The directory doesn't know of it then, but the witnesses of its streams do.
+func (o *streamOrigins) mayMissVersions() bool {
+	return o.entry.uptime() <= fleet.DepartedSoftwareTTL
+}
+
+// lookUp returns what this process or a witness knows of a stream's origin.
+func (o *streamOrigins) lookUp(ctx context.Context, stream relay.StreamRef) (softwareVersion, source string) {
 	if stream.RequestID == "" {
 		return "", originUnknown
 	}
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -17,9 +17,9 @@
 	// target has left. It exceeds the age of a copy that the registry is restored
 	// from, and the time for which a leaving target still serves.
 	departedTTL = time.Minute
-	// departedSoftwareTTL is the time for which a software version counts as present after
+	// DepartedSoftwareTTL is the time for which a software version counts as present after
 	// its last target has left: callers still hold streams that it began.
-	departedSoftwareTTL = 30 * time.Second
+	DepartedSoftwareTTL = 30 * time.Second
 )
 
 // Directory holds the targets that may receive requests. It is safe for
@@ -215,7 +215,7 @@
 		}
 	}
 	for s, at := range d.departedSoftware {
-		if s.service == service && now-at <= departedSoftwareTTL {
+		if s.service == service && now-at <= DepartedSoftwareTTL {
 			present[s.version] = true
 		}
 	}
@@ -227,7 +227,7 @@
 func (d *Directory) Prune(now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	maps.DeleteFunc(d.departedSoftware, func(_ software, at time.Duration) bool { return now-at > departedSoftwareTTL })
+	maps.DeleteFunc(d.departedSoftware, func(_ software, at time.Duration) bool { return now-at > DepartedSoftwareTTL })
 	for boot, left := range d.departed {
 		e, ok := d.entries[boot.ID]
 		listed := ok && e.target.Boot() == boot
