A request keeps its trial until a target may have run it

What callers saw: a sound request or part that was in three crashes by chance stays refused, although its trial was due and used.

Cause: the permission for a trial was used up by the first look at the quarantine. If the target that was chosen rejected the request without running it (a busy one does), or none was free at that moment, the next look refused the same request with 400.

The request remembers that it is the trial, and is refused again only once a target may have run it, so that a trial still costs one crash at most. trial_taken (953) names the request.

Evidence: TestTrialThatTargetRejects: 400 with the trial not kept, 200 after; its second case (a target that breaks off: one attempt) holds in both. State machine: 3,000 draws green. TestQuarantineOfSoundPart green.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -68,19 +68,23 @@
 }
 
 // Check implements relay.Quarantine. A refused request may lead to a trial, which a later
-// one uses.
+// one takes.
 func (k *quarantineKeeper) Check(request quarantine.Request) (quarantine.Suspect, bool) {
-	now := time.Now()
-	suspect, quarantined := k.table.Check(now, request)
+	suspect, quarantined := k.table.Check(request)
 	if !quarantined {
 		return suspect, false
 	}
-	if due, ok := k.table.DueTrial(now, request); ok {
+	if due, ok := k.table.DueTrial(time.Now(), request); ok {
 		k.requestTrial(due)
 	}
 	return suspect, true
 }
 
+// TakeTrial implements relay.Quarantine.
+func (k *quarantineKeeper) TakeTrial(suspect quarantine.Suspect, request quarantine.Request) bool {
+	return k.table.TakeTrial(time.Now(), suspect, request)
+}
+
 // IsSuspected implements relay.Quarantine.
 func (k *quarantineKeeper) IsSuspected(request quarantine.Request) bool {
 	return k.table.IsSuspected(request)
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -81,6 +81,8 @@
 		[]string{"fingerprint", "part", "trial"}}
 	StreamResumed = Event{952, "stream_resumed", "A caller resumes a stream. software is the version that began it, and source is who knew it: only_version if the service has only one, self, a peer, or unknown. resumes is the request that the caller says began it.",
 		[]string{"request_id", "resumes", "service", "software", "source", "waited_ms"}}
+	TrialTaken = Event{953, "trial_taken", "A quarantined request may be sent to a target, to see whether the suspicion was right. It has one run.",
+		[]string{"request_id", "fingerprint", "part"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -91,5 +93,5 @@
 	PeerMessageInvalid, DutyFailed, LinesDropped, SettingsReloaded, CacheStoreRead, ConfigOverdue,
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
-	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed,
+	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed, TrialTaken,
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -22,7 +22,7 @@
 // check returns the identifier of the suspect because of which a request with the given
 // parts is refused, or "".
 func check(table *Table, parts ...string) string {
-	suspect, _ := table.Check(testStart, prompt(parts...))
+	suspect, _ := table.Check(prompt(parts...))
 	return suspect.Part
 }
 
@@ -250,7 +250,7 @@
 		table := New()
 		crashing, beside := Request{Fingerprint: "crashing"}, Request{Fingerprint: "beside"}
 		isRefused := func(request Request) bool {
-			_, refused := table.Check(testStart, request)
+			_, refused := table.Check(request)
 			return refused
 		}
 		Convey("a request is refused once three runs of targets have crashed under it", func() {
@@ -312,8 +312,8 @@
 			So(due, ShouldBeTrue)
 			So(table.AddTrial(now, suspect, "trial-1"), ShouldBeTrue)
 			table.Grant(now, suspect)
-			_, refused := table.Check(now, beside)
-			So(refused, ShouldBeFalse)
+			So(table.TakeTrial(now, suspect, beside), ShouldBeTrue)
+			So(table.TakeTrial(now, suspect, beside), ShouldBeFalse)
 			table.RecordCompleted(now, beside)
 			So(isRefused(beside), ShouldBeFalse)
 			So(isRefused(crashing), ShouldBeTrue)
--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -97,7 +97,7 @@
 func (w *world) send(t *rapid.T) {
 	process := w.draw(t)
 	request := w.drawRequest(t)
-	if _, refused := process.table.Check(w.now, request); refused {
+	if w.isRefused(process, request) {
 		return
 	}
 	if !w.doesCrash(request) {
@@ -110,6 +110,12 @@
 	}
 }
 
+// isRefused reports whether a process refuses a request and has no trial for it.
+func (w *world) isRefused(p *testProcess, request Request) bool {
+	suspect, quarantined := p.table.Check(request)
+	return quarantined && !p.table.TakeTrial(w.now, suspect, request)
+}
+
 // crash crashes the next target under a request.
 func (w *world) crash(p *testProcess, request Request) fleet.Boot {
 	target := run(w.crashes)
@@ -251,7 +257,7 @@
 func (w *world) check(t *rapid.T) {
 	request := w.drawRequest(t)
 	for i, p := range w.processes {
-		if _, got := p.table.check(request); got != p.oracle.refuses(request) {
+		if _, got := p.table.Check(request); got != p.oracle.refuses(request) {
 			t.Fatalf("process %d refuses %v: %t, the oracle: %t, with %v", i, request, got, !got, p.oracle.facts)
 		}
 	}
@@ -285,7 +291,7 @@
 // not refused.
 func (w *world) crashUnlessRefused(request Request) bool {
 	all := w.exchangeAll()
-	if _, refused := all.table.Check(w.now, request); refused {
+	if w.isRefused(all, request) {
 		return false
 	}
 	w.crash(all, request)
@@ -304,7 +310,7 @@
 	w.crashUntilRefused(t)
 	w.exchangeAll()
 	for i, p := range w.processes {
-		if _, refused := p.table.check(sound); refused {
+		if _, refused := p.table.Check(sound); refused {
 			t.Fatalf("process %d refuses a sound request", i)
 		}
 		w.checkRefusals(t, i, p)
@@ -313,11 +319,11 @@
 
 // checkRefusals checks that a process refuses all requests that crash targets.
 func (w *world) checkRefusals(t *rapid.T, number int, p *testProcess) {
-	if _, refused := p.table.check(repeatedRequests[0]); w.requestCrashes && !refused {
+	if _, refused := p.table.Check(repeatedRequests[0]); w.requestCrashes && !refused {
 		t.Fatalf("process %d does not refuse the crashing request", number)
 	}
 	for _, parts := range crashingRequests() {
-		if _, refused := p.table.check(prompt(parts...)); w.partCrashes && !refused {
+		if _, refused := p.table.Check(prompt(parts...)); w.partCrashes && !refused {
 			t.Fatalf("process %d does not refuse %v after %d crashes", number, parts, w.crashes)
 		}
 	}
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -90,16 +90,18 @@
 	}
 }
 
-// Grant lets the next request through that is refused because of a suspect.
+// Grant permits one request that is refused because of a suspect to take a trial.
 func (t *Table) Grant(now time.Time, suspect Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.granted[suspect] = now.Add(grantTTL)
 }
 
-// takeGrant reports whether a request may be sent in spite of a quarantined suspect, and
-// uses up the permission. The caller must hold t.mu.
-func (t *Table) takeGrant(now time.Time, suspect Suspect, request Request) bool {
+// TakeTrial reports whether a request may be sent to a target in spite of a quarantined
+// suspect, and uses up the permission.
+func (t *Table) TakeTrial(now time.Time, suspect Suspect, request Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	until, ok := t.granted[suspect]
 	if !ok || !t.isConclusive(suspect, request) {
 		return false
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // derive returns the quarantined suspects with their companions.
@@ -75,18 +74,14 @@
 }
 
 // Check returns the quarantined suspect because of which a request must not be sent to a
-// target, if there is one. A request that this process may send as a trial is let through.
-func (t *Table) Check(now time.Time, request Request) (suspect Suspect, quarantined bool) {
+// target, if there is one. Only a request that takes a trial of it may be sent.
+func (t *Table) Check(request Request) (suspect Suspect, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspect, quarantined = t.check(request)
-	if quarantined && t.takeGrant(now, suspect, request) {
-		return Suspect{}, false
-	}
-	return suspect, quarantined
+	return t.check(request)
 }
 
-// check is like Check, without trials. The caller must hold t.mu.
+// check is like Check. The caller must hold t.mu.
 func (t *Table) check(request Request) (suspect Suspect, quarantined bool) {
 	if len(t.quarantined) == 0 {
 		return Suspect{}, false
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
 )
@@ -16,8 +17,11 @@
 // must not block.
 type Quarantine interface {
 	// Check returns what is quarantined of a request, if anything is. The request must
-	// not be sent to a target then.
+	// not be sent to a target then, unless it takes a trial.
 	Check(request quarantine.Request) (suspect quarantine.Suspect, quarantined bool)
+	// TakeTrial reports whether the request may show by its response that what is
+	// quarantined of it is sound. The next request is refused again.
+	TakeTrial(suspect quarantine.Suspect, request quarantine.Request) bool
 	// IsSuspected reports whether a target has crashed under a request with the same
 	// fingerprint, and none has completed a response to one.
 	IsSuspected(request quarantine.Request) bool
@@ -35,6 +39,8 @@
 	return quarantine.Suspect{}, false
 }
 
+func (noQuarantine) TakeTrial(quarantine.Suspect, quarantine.Request) bool { return false }
+
 func (noQuarantine) IsSuspected(quarantine.Request) bool { return false }
 
 func (noQuarantine) Completed(quarantine.Request) {}
@@ -54,7 +60,7 @@
 // checkQuarantine returns a refusal if the request must not be sent to any target.
 func (q *request) checkQuarantine() *refusal {
 	suspect, quarantined := q.relay.Quarantine.Check(q.crashRequest())
-	if !quarantined {
+	if !quarantined || q.takesTrial(suspect) {
 		return nil
 	}
 	reason := "prompt_quarantined"
@@ -64,6 +70,19 @@
 	return &refusal{status: http.StatusBadRequest, reason: reason, part: suspect.Part, permanent: true}
 }
 
+// takesTrial reports whether the request may be sent as a trial of a quarantined suspect. It
+// keeps the trial until a target may have run it, since a target that rejects it shows nothing.
+func (q *request) takesTrial(suspect quarantine.Suspect) bool {
+	if q.mayHaveRun {
+		return false
+	}
+	if q.trialOf != suspect && q.relay.Quarantine.TakeTrial(suspect, q.crashRequest()) {
+		q.trialOf = suspect
+		q.relay.Log.Log(eventlog.TrialTaken, "request_id", q.meta.ID, "fingerprint", suspect.Request, "part", suspect.Part)
+	}
+	return q.trialOf == suspect
+}
+
 // isSuspected reports whether the request may crash its targets. Such a request is not
 // sent to a second one by itself.
 func (q *request) isSuspected() bool {
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -57,3 +57,50 @@
 		}
 	})
 }
+
+// oneTrial implements Quarantine for requests that are all quarantined, with one trial.
+type oneTrial struct {
+	noQuarantine
+	taken bool
+}
+
+func (*oneTrial) Check(quarantine.Request) (quarantine.Suspect, bool) {
+	return quarantine.Suspect{Request: "fingerprint"}, true
+}
+
+func (o *oneTrial) TakeTrial(quarantine.Suspect, quarantine.Request) bool {
+	available := !o.taken
+	o.taken = true
+	return available
+}
+
+// TestTrialThatTargetRejects guards against a trial that is used up, although no target has run
+// the request: what is sound then stays quarantined.
+func TestTrialThatTargetRejects(t *testing.T) {
+	cases := []struct {
+		name     string
+		script   []scriptStep
+		status   int
+		attempts int
+	}{
+		{"is sent to another target after one that rejected it without running it", []scriptStep{{0, reject}}, http.StatusOK, 2},
+		{"is not sent again after a target that may have run it", []scriptStep{{time.Millisecond, breakOff}}, http.StatusBadGateway, 1},
+	}
+	Convey("Given two targets and a quarantined request that takes a trial", t, func() {
+		for _, c := range cases {
+			Convey("it "+c.name, func() {
+				var result testResult
+				var world *testWorld
+				synctest.Test(t, func(*testing.T) {
+					world = newTestWorld(resumableRoute(2), 2, 2, c.script, stream(0, 0))
+					world.relay.Quarantine = &oneTrial{}
+					result = world.send(8 * time.Second)
+					world.close()
+					synctest.Wait()
+				})
+				So(result.status, ShouldEqual, c.status)
+				So(world.received, ShouldHaveLength, c.attempts)
+			})
+		}
+	})
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
+	"github.com/baobabhub/baobabhub/pkg/quarantine"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
@@ -136,6 +137,8 @@
 	attempts  int
 	// mayHaveRun is set if a completed attempt may have run.
 	mayHaveRun bool
+	// trialOf is the quarantined suspect of which the request is a trial; zero if it is none.
+	trialOf quarantine.Suspect
 	// lastTarget is the target of the last completed attempt.
 	lastTarget string
 	// wroteHeader is set once the response header has been written to the
