Other processes hear of a trial only once it is in the store

What callers saw: a part of prompts that is sound may stay refused for 30 min, since its second trial is gone.

Cause: a trial was added to the table, then written under a condition, and removed if another process had been faster. A message that was sent in between told the peers of it, who kept it and wrote it to the store: a trial that nobody makes. At a due trial all processes that refuse requests try at the same moment, so on a large fleet this is the ordinary case.

The records to write are now made beside the table; the trial is added once the write has succeeded, or has had no answer.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -274,8 +274,12 @@
 // writeFacts writes the known facts if the store holds what this process last read of it.
 func (k *quarantineKeeper) writeFacts(ctx context.Context) error {
 	_, revision := k.storedRecords()
-	snapshot := k.table.Snapshot()
-	value, err := json.Marshal(quarantineRecord{Suspects: snapshot})
+	return k.writeRecords(ctx, k.table.Snapshot(), revision)
+}
+
+// writeRecords writes records if the store's key has the given revision.
+func (k *quarantineKeeper) writeRecords(ctx context.Context, records []quarantine.Record, revision uint64) error {
+	value, err := json.Marshal(quarantineRecord{Suspects: records})
 	if err != nil {
 		panic(errors.Annotate(err, "encoding crashes"))
 	}
@@ -284,7 +288,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	k.setStored(snapshot, revision)
+	k.setStored(records, revision)
 	return nil
 }
 
--- a/pkg/entry/trials.go
+++ b/pkg/entry/trials.go
@@ -22,24 +22,29 @@
 
 // beginTrial lets this process send one request with a quarantined suspect to a target. The
 // trial has to be in the store first, so that no two processes begin the same one: the write
-// fails if the store holds a trial that this process doesn't know.
+// fails if the store holds a trial that this process doesn't know. Until then other processes
+// don't hear of it.
 func (k *quarantineKeeper) beginTrial(ctx context.Context, suspect quarantine.Suspect) {
 	k.trialCount++
 	id := fmt.Sprintf("%s-%d", k.entry.bootID, k.trialCount)
-	if !k.table.AddTrial(time.Now(), suspect, id) {
+	_, revision := k.storedRecords()
+	trial, records, due := k.table.ProposeTrial(time.Now(), suspect, id)
+	if !due {
 		return
 	}
-	err := k.writeFacts(ctx)
-	if err == nil {
+	err := k.writeRecords(ctx, records, revision)
+	switch {
+	case err == nil:
+		k.table.AddTrial(suspect, trial)
 		k.table.Grant(time.Now(), suspect)
 		k.entry.log.Log(eventlog.TrialBegun, "fingerprint", suspect.Request, "part", suspect.Part, "trial", id)
 		return
-	}
-	if errors.Is(err, kv.ErrConflict) {
-		k.table.RemoveTrial(suspect, id)
+	case errors.Is(err, kv.ErrConflict):
 		err = k.read(ctx)
+	default:
+		// The write may have taken effect, so the trial counts.
+		k.table.AddTrial(suspect, trial)
 	}
-	// After another error the write may have taken effect, so the trial counts.
 	if err != nil && ctx.Err() == nil {
 		k.entry.log.Log(eventlog.DutyFailed, "duty", "quarantine", "err", errors.Annotate(err, "writing a trial"))
 	}
--- a/pkg/quarantine/exchange.go
+++ b/pkg/quarantine/exchange.go
@@ -50,6 +50,11 @@
 func (t *Table) Snapshot() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.snapshot()
+}
+
+// snapshot is like Snapshot. The caller must hold t.mu.
+func (t *Table) snapshot() []Record {
 	records := t.records()
 	slices.SortFunc(records, compareRelevance)
 	return records[:min(maxStored, len(records))]
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -310,7 +310,9 @@
 			now := testStart.Add(trialDelay)
 			suspect, due := table.DueTrial(now, beside)
 			So(due, ShouldBeTrue)
-			So(table.AddTrial(now, suspect, "trial-1"), ShouldBeTrue)
+			trial, _, due := table.ProposeTrial(now, suspect, "trial-1")
+			So(due, ShouldBeTrue)
+			table.AddTrial(suspect, trial)
 			table.Grant(now, suspect)
 			So(table.TakeTrial(now, suspect, beside), ShouldBeTrue)
 			So(table.TakeTrial(now, suspect, beside), ShouldBeFalse)
@@ -324,6 +326,28 @@
 				So(due, ShouldBeTrue)
 			})
 		})
+		Convey("others hear of a trial only once it is in the store", func() {
+			for n := range minCrashes {
+				table.RecordCrash(testStart, run(n), crashing)
+			}
+			now := testStart.Add(loneRequestTrialDelay)
+			suspect := Suspect{Request: crashing.Fingerprint}
+			trialsIn := func(records []Record) (trials []Trial) {
+				for i := range records {
+					trials = append(trials, records[i].Trials...)
+				}
+				return trials
+			}
+			trial, records, due := table.ProposeTrial(now, suspect, "trial-1")
+			So(due, ShouldBeTrue)
+			So(trialsIn(records), ShouldResemble, []Trial{trial})
+			So(trialsIn(table.News(now)), ShouldBeEmpty)
+			So(trialsIn(table.Snapshot()), ShouldBeEmpty)
+			table.AddTrial(suspect, trial)
+			So(trialsIn(table.News(now)), ShouldResemble, []Trial{trial})
+			_, _, due = table.ProposeTrial(now, suspect, "trial-2")
+			So(due, ShouldBeFalse)
+		})
 		Convey("a request and a part with the same identifier are not the same", func() {
 			for n := range minCrashes {
 				table.RecordCrash(testStart, run(n), crashing)
--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -161,13 +161,14 @@
 	if !p.table.Missing(w.store.records) {
 		return
 	}
-	w.replaceStore(p)
+	w.replaceStore(p, p.table.Snapshot())
 }
 
-func (w *world) replaceStore(p *testProcess) {
+// replaceStore writes records of a process, which hold all facts that it knows.
+func (w *world) replaceStore(p *testProcess, records []Record) {
 	w.version++
 	w.copies = append(w.copies, w.store)
-	w.store = storeCopy{records: p.table.Snapshot(), facts: map[fact]bool{}, version: w.version}
+	w.store = storeCopy{records: records, facts: map[fact]bool{}, version: w.version}
 	for f, cleared := range p.oracle.facts {
 		w.store.facts[f] = cleared
 	}
@@ -180,15 +181,16 @@
 	process := w.draw(t)
 	suspect, due := process.table.DueTrial(w.now, w.drawRequest(t))
 	id := fmt.Sprint("trial-", w.version, "-", len(w.trials))
-	if !due || !process.table.AddTrial(w.now, suspect, id) {
+	trial, records, proposed := process.table.ProposeTrial(w.now, suspect, id)
+	if !due || !proposed {
 		return
 	}
 	if process.readVersion != w.store.version {
-		process.table.RemoveTrial(suspect, id)
 		w.read(process)
 		return
 	}
-	w.replaceStore(process)
+	w.replaceStore(process, records)
+	process.table.AddTrial(suspect, trial)
 	process.table.Grant(w.now, suspect)
 	w.trials[suspect]++
 	if limit := max(maxPartTrials, maxRequestTrials); !w.restored && w.trials[suspect] > limit {
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// trialDelay and loneRequestTrialDelay are the times after the latest crash or trial of
@@ -70,23 +73,30 @@
 	return false
 }
 
-// AddTrial records a trial of a suspect, if one is due.
-func (t *Table) AddTrial(now time.Time, suspect Suspect, id string) bool {
+// ProposeTrial returns the records that the store must hold so that a trial of a suspect
+// begins, if one is due. The trial counts only once AddTrial has been called.
+func (t *Table) ProposeTrial(now time.Time, suspect Suspect, id string) (trial Trial, records []Record, due bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, quarantined := t.quarantined[suspect]; !quarantined || !t.isTrialDue(now, suspect) {
-		return false
+		return Trial{}, nil, false
+	}
+	trial = Trial{ID: id, UnixMS: now.UnixMilli()}
+	records = t.snapshot()
+	i := slices.IndexFunc(records, func(record Record) bool { return record.Suspect == suspect })
+	if i < 0 {
+		return Trial{}, nil, false
 	}
-	t.states[suspect].trials[id] = now.UnixMilli()
-	return true
+	records[i].Trials = append(records[i].Trials, trial)
+	return trial, records, true
 }
 
-// RemoveTrial removes a trial that did not get into the store.
-func (t *Table) RemoveTrial(suspect Suspect, id string) {
+// AddTrial records a trial that is in the store, or may be.
+func (t *Table) AddTrial(suspect Suspect, trial Trial) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if state, ok := t.states[suspect]; ok {
-		delete(state.trials, id)
+		state.trials[trial.ID] = trial.UnixMS
 	}
 }
 
