Stored facts of crashes are merged before their revision is used

What callers saw: nothing; found by reading. applyStored set the revision of the key before it merged the records. A write between the two lines passed the condition, and replaced facts that this process had not merged yet, so that two processes could begin the same trial.

The order is changed. No test: the window is two statements of one goroutine beside another.

--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -206,8 +206,9 @@
 			record = quarantineRecord{}
 		}
 	}
-	k.setStored(record.Suspects, revision)
+	// A write at this revision replaces the records, so they must be known before it.
 	k.merge(record.Suspects, sourceStore)
+	k.setStored(record.Suspects, revision)
 	k.requestWrite()
 }
 
