Tests' free addresses are not given twice

Cause: FreeAddress drew a port at random, and forgot it. Whether this one was its own or one of the other process the log can't tell.

Ports are taken in turn from a random one.

--- a/pkg/fake/loopback/loopback.go
+++ b/pkg/fake/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 )
@@ -19,12 +20,19 @@
 	maxAttempts = 100
 )
 
+// nextPort is the offset of the next candidate port. It begins at random, since the tests of
+// several packages run at the same time.
+var nextPort atomic.Uint64
+
+func init() { nextPort.Store(rand.Uint64N(portLimit - firstPort)) }
+
 // FreeAddress returns a loopback address, host:port, on which no process
-// listens at the time of the call, neither on TCP nor on UDP.
+// listens at the time of the call, neither on TCP nor on UDP. It takes the ports in turn, so
+// that two calls don't return the same one before a process listens on it.
 func FreeAddress() (string, error) {
 	var lastErr error
 	for range maxAttempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portLimit-firstPort))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(portLimit-firstPort))
 		if lastErr = checkFree(address); lastErr == nil {
 			return address, nil
 		}
