A planned stop sends the levels of slots whose records were written last

What callers saw: after a planned stop of an agent, an account was refused within its rate for a while: tokens of a slot were lost with it.

The record of another slot may be written while the levels are being sent. It is owned no more then, and its levels wait to be taken; the loop ended without them.

The end now also asks whether levels wait, under the same lock as the records.

--- a/pkg/ownership/runner/runner_test.go
+++ b/pkg/ownership/runner/runner_test.go
@@ -24,7 +24,10 @@
 type fleet struct {
 	mu      sync.Mutex
 	service *kvfake.Server
+	config  ownership.Config
 	nodes   map[string]*node
+	// beforeHandOver, if not nil, is called before each delivery of levels.
+	beforeHandOver func()
 }
 
 type node struct {
@@ -81,6 +84,9 @@
 }
 
 func (f *fleet) HandOver(ctx context.Context, vm string, handedOver []runner.HandedOverSlot) error {
+	if f.beforeHandOver != nil {
+		f.beforeHandOver()
+	}
 	n, err := f.node(vm)
 	if err != nil {
 		return err
@@ -91,7 +97,7 @@
 	return nil
 }
 
-func newFleet(t testing.TB, count int) *fleet {
+func newFleet(t testing.TB, count int, options ...func(*ownership.Config)) *fleet {
 	service := kvfake.New(1)
 	address, err := service.Start("127.0.0.1:0")
 	if err != nil {
@@ -105,7 +111,10 @@
 		})
 	}
 	service.SetVMs(vms)
-	f := &fleet{service: service, nodes: map[string]*node{}}
+	f := &fleet{service: service, nodes: map[string]*node{}, config: ownership.DefaultConfig(slots, 2*time.Second)}
+	for _, set := range options {
+		set(&f.config)
+	}
 	for i, vm := range vms {
 		f.start(vm, uint64(i+1), address)
 	}
@@ -122,7 +131,7 @@
 	client := platform.NewClient(platform.DefaultConfig(address))
 	n := &node{boot: boot, done: make(chan struct{}), credits: map[ownership.SlotID]uint64{}}
 	n.runner = runner.New(runner.Options{
-		Config: ownership.DefaultConfig(slots, 2*time.Second),
+		Config: f.config,
 		Self:   ownership.LocalProcess{Member: ownership.Member{VM: vm.ID, DataCentre: vm.DataCentre, Region: vm.Region}, BootID: boot},
 		Store:  client, Lister: client, Peers: f, SlotHandler: n, Log: eventlog.Discard(), ReadPeriod: 2 * time.Second,
 	})
@@ -226,14 +235,51 @@
 		f.all()[draining].runner.HandOverAll(ctx)
 		f.stop(draining)
 		So(eventually(f.allHeld), ShouldBeTrue)
-		var got uint64
-		for _, n := range f.all() {
-			n.mu.Lock()
-			for _, tokens := range n.credits {
-				got += tokens
+		So(f.credited(), ShouldEqual, want)
+	})
+}
+
+// credited returns the number of tokens that all nodes together have been credited.
+func (f *fleet) credited() uint64 {
+	var tokens uint64
+	for _, n := range f.all() {
+		n.mu.Lock()
+		for _, credit := range n.credits {
+			tokens += credit
+		}
+		n.mu.Unlock()
+	}
+	return tokens
+}
+
+// TestLevelsOfLastSlots guards against levels that are lost in a planned stop: those of slots
+// whose records are written while the levels of others are being sent.
+func TestLevelsOfLastSlots(t *testing.T) {
+	Convey("Given a planned stop that writes one record at a time", t, func() {
+		f := newFleet(t, 2, func(c *ownership.Config) { c.MaxInFlightWrites = 1 })
+		So(eventually(f.allHeld), ShouldBeTrue)
+		draining, _ := f.holder(0)
+		stopping := f.all()[draining].runner
+		var want uint64
+		for slot := range ownership.SlotID(slots) {
+			if _, held := stopping.Holds(slot); held {
+				want += uint64(slot) + 1
 			}
-			n.mu.Unlock()
 		}
-		So(got, ShouldEqual, want)
+		holdsNone := func() bool {
+			for slot := range ownership.SlotID(slots) {
+				if _, held := stopping.Holds(slot); held {
+					return false
+				}
+			}
+			return true
+		}
+		f.beforeHandOver = func() { eventually(holdsNone) }
+		Convey("all levels arrive, though the first ones are delivered once all records are written", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			stopping.HandOverAll(ctx)
+			So(eventually(func() bool { return f.credited() == want }), ShouldBeTrue)
+		})
 	})
 }
--- a/pkg/ownership/runner/serve.go
+++ b/pkg/ownership/runner/serve.go
@@ -106,7 +106,7 @@
 		// new owner may not have read its record yet; in that case the levels
 		// are sent again.
 		unsent = r.sendLevels(ctx, append(unsent, r.takeHandedOver()...))
-		if (r.ownedCount() == 0 && len(unsent) == 0) || !clock.Sleep(ctx, r.options.Config.RetryInterval/8) {
+		if (r.isHandedOver() && len(unsent) == 0) || !clock.Sleep(ctx, r.options.Config.RetryInterval/8) {
 			break
 		}
 	}
@@ -166,8 +166,10 @@
 	return unsent
 }
 
-func (r *Runner) ownedCount() int {
+// isHandedOver reports whether this process owns no slots and holds no levels of slots that it
+// has handed over: the record of the last slot may be written while levels are being sent.
+func (r *Runner) isHandedOver() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.machine.OwnedCount()
+	return r.machine.OwnedCount() == 0 && len(r.handedOver) == 0
 }
