Fault soak: processes that don't hear the others

For the time of the fault, the store names another port for a process, so that the messages of the others don't arrive. They still hear it: a cut in one direction. TestSoakCrashesAndLimits and TestSoak play it; regression seeds keep the faults with which they failed.

--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -44,6 +44,7 @@
 // processAndStoreInjectors are the faults beside which targets crash and name limits.
 var processAndStoreInjectors = []faultInjector{
 	stopProcess, killProcess, pauseProcess, injectStoreLinkFault, injectStoreLinkFault, makeStoreUnavailable, loseStoreWatches,
+	cutOffFromPeers, cutOffFromPeers,
 }
 
 // arrival is the arrival of a process's request at a target.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -49,6 +52,14 @@
 	makeTargetMisbehave, makeTargetMisbehave, drainTarget, announceLeaving, publishWeights, publishConfiguration,
 }
 
+// injectorsOf returns the faults of a seed. Regression seeds keep those with which they failed.
+func injectorsOf(seed uint64) []faultInjector {
+	if _, ok := regressionSeeds[seed]; ok {
+		return faultInjectors
+	}
+	return slices.Concat(faultInjectors, []faultInjector{cutOffFromPeers, cutOffFromPeers})
+}
+
 func stopProcess(d *deployment, f fault) {
 	defer d.beginFaultPeriod(f.process)()
 	f.processLock.Lock()
@@ -94,6 +105,27 @@
 	endWindow(time.Second)
 }
 
+// unusedPort is a port at which no process listens, in place of its peerPort.
+const unusedPort = peerPort + 9
+
+// cutOffFromPeers makes the other processes send their messages for a process to an address at
+// which nobody listens. They still hear the process.
+func cutOffFromPeers(d *deployment, f fault) {
+	defer d.beginFaultPeriod(f.process)()
+	f.processLock.Lock()
+	defer f.processLock.Unlock()
+	record := "baobab/routers/" + d.processes[f.process].vm
+	d.changePeerPort(record, peerPort, unusedPort)
+	time.Sleep(3 * f.duration)
+	d.changePeerPort(record, unusedPort, peerPort)
+}
+
+func (d *deployment) changePeerPort(record string, from, to int) {
+	d.store.ChangeValue(record, func(value string) string {
+		return strings.Replace(value, fmt.Sprintf(":%d", from), fmt.Sprintf(":%d", to), 1)
+	})
+}
+
 func injectTargetLinkFault(d *deployment, f fault) { injectLinkFault(d.targetLinks[f.target], f) }
 
 func injectStoreLinkFault(d *deployment, f fault) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -51,7 +51,7 @@
 const callersPerEntry = 4
 
 func TestSoak(t *testing.T) {
-	runSeeds(t, regressionSeeds, func(t *testing.T, seed uint64) { runSeed(t, seed, faultInjectors, callersPerEntry) })
+	runSeeds(t, regressionSeeds, func(t *testing.T, seed uint64) { runSeed(t, seed, injectorsOf(seed), callersPerEntry) })
 }
 
 // runSeeds runs the regression seeds and those that the flags select.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -28,6 +28,8 @@
 	plainRequestTokens = 200
 	// leaseTTL is the time to live of the leases of the processes.
 	leaseTTL = 3 * time.Second
+	// peerPort is the port at which a process receives messages of others.
+	peerPort = 7400
 	// stopGrace is the grace period of a process from the stop signal to its exit.
 	stopGrace = 5 * time.Second
 )
@@ -274,7 +276,7 @@
 	p := &process{vm: fmt.Sprint("front-", index), storeLink: link, address: ip + ":7410", readyAddress: ip + ":7411"}
 	p.settings = map[string]any{
 		"node": p.vm, "ip": ip, "zone": fmt.Sprint("zone-", index%2),
-		"listen": map[string]any{"front": p.address, "ready": p.readyAddress}, "port_range": []int{7400, 7401}, "first_start": true,
+		"listen": map[string]any{"front": p.address, "ready": p.readyAddress}, "port_range": []int{peerPort, peerPort + 1}, "first_start": true,
 		"limits": map[string]any{"memory_mb": 200, "max_fds": 1000},
 		"bounds": map[string]any{"lease_ms": leaseTTL.Milliseconds(), "grace_s": stopGrace.Seconds(), "retry_budget": retryBudget,
 			"budget_window_s": retryBudgetWindow.Seconds(), "budget_slack": retryBudgetSlack, "version_ms": 6000},
