Routers of the project's own stack stop with the callers' server of the entry process

Cause: http.Server.Shutdown closes connections on which a request has arrived, or half of its header.

The router uses the same server now, one way to stop instead of two.

--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -177,13 +177,15 @@
 }
 
 // refuse responds to a request whose header has not been read completely, and
-// closes the connection.
+// closes the connection. An encrypted connection is closed without a response.
 func (c *conn) refuse(status int) {
 	c.server.config.Log.Log(eventlog.CallerHeaderRefused, "remote", c.RemoteAddr().String(), "status", status,
 		"header_ms", c.phaseAge().Milliseconds())
 	// If a write fails, the caller has disconnected.
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	if !c.isEncrypted() {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	}
 	_ = c.CloseWrite()
 	c.discardUnread()
 	_ = c.Close()
@@ -202,11 +204,14 @@
 	return time.Since(c.since)
 }
 
+// isEncrypted reports whether the connection carries TLS records.
+func (c *conn) isEncrypted() bool { return c.server.config.TLS != nil }
+
 // Write implements net.Conn. Before the handler begins, only the HTTP server
-// itself writes, to reject a malformed request.
+// itself writes, to reject a malformed request, and the encryption its handshake.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.phase < handling {
+	if c.phase < handling && !c.isEncrypted() {
 		c.beginPhase(answered)
 	}
 	c.mu.Unlock()
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"maps"
 	"net"
 	"net/http"
@@ -41,6 +42,8 @@
 	RequestID func(header http.Header) string
 	// SetRequestID sets the ID in a response's header.
 	SetRequestID func(header http.Header, id string)
+	// TLS is the configuration of encrypted connections; nil for plain ones.
+	TLS *tls.Config
 	// Limits returns the limits in force. Its zero fields stand for defaults.
 	Limits func() fleet.ClientLimits
 	Log    *eventlog.Logger
@@ -94,9 +97,15 @@
 	s.listener = l
 	s.mu.Unlock()
 	defer close(s.acceptEnded)
+	if s.config.TLS != nil {
+		return errors.Trace(s.http.Serve(tls.NewListener(l, s.config.TLS)))
+	}
 	return errors.Trace(s.http.Serve(l))
 }
 
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error { return errors.Trace(s.http.Close()) }
+
 // Drain accepts the connections that wait in the listener's queue, closes the
 // listener and waits until all requests are answered and all connections closed. A
 // connection is closed after its response, or once nothing has arrived on it for
@@ -174,7 +183,7 @@
 // in progress in the state of its connection, and responds if it panics.
 func (s *Server) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*conn)
+		c, ok := trackedConn(r.Context().Value(connKey{}))
 		if !ok {
 			s.config.Handler.ServeHTTP(w, r)
 			return
@@ -188,9 +197,18 @@
 	})
 }
 
+// trackedConn returns the conn of a connection of the HTTP server, below its encryption.
+func trackedConn(served any) (*conn, bool) {
+	if encrypted, ok := served.(*tls.Conn); ok {
+		served = encrypted.NetConn()
+	}
+	c, ok := served.(*conn)
+	return c, ok
+}
+
 // observeState is the ConnState hook of the HTTP server.
 func observeState(netConn net.Conn, state http.ConnState) {
-	c, ok := netConn.(*conn)
+	c, ok := trackedConn(netConn)
 	if !ok {
 		return
 	}
--- a/pkg/daemon/router.go
+++ b/pkg/daemon/router.go
@@ -17,9 +17,11 @@
 	"github.com/baobabhub/baobabhub/pkg/admission"
 	"github.com/baobabhub/baobabhub/pkg/bundle"
 	"github.com/baobabhub/baobabhub/pkg/caller"
+	"github.com/baobabhub/baobabhub/pkg/callerserver"
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/config"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/metrics"
 	"github.com/baobabhub/baobabhub/pkg/operator"
 	"github.com/baobabhub/baobabhub/pkg/platform"
@@ -34,7 +36,7 @@
 	log            *eventlog.Logger
 	router         *router.Router
 	components     *components
-	callerServer   *http.Server
+	callerServer   *callerserver.Server
 	callerListener net.Listener
 	operators      *operatorServer
 	slotConfig     slottable.Config
@@ -95,12 +97,15 @@
 
 func (d *Router) listen() error {
 	callers := d.settings.Callers
-	listener, err := listen(callers.Address, callers.TLS)
+	encryption, err := serverEncryption(callers.TLS)
 	if err != nil {
 		return errors.Annotate(err, "callers' listener")
 	}
-	d.callerListener = listener
-	d.callerServer = &http.Server{
+	d.callerListener, err = net.Listen("tcp", callers.Address)
+	if err != nil {
+		return errors.Annotate(err, "callers' listener")
+	}
+	d.callerServer = callerserver.New(callerserver.Config{
 		Handler: caller.NewHandler(d.router, caller.Options{
 			MaxBodyBytes:  callers.MaxBodyBytes,
 			MaxConcurrent: callers.MaxConcurrent,
@@ -108,10 +113,16 @@
 			WriteTimeout:  time.Duration(callers.WriteTimeout),
 			Draining:      d.leaving.Load,
 		}),
-		ReadHeaderTimeout: time.Duration(callers.HeaderTimeout),
-		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       callerIdleTimeout,
-	}
+		TLS:          encryption,
+		RequestID:    func(header http.Header) string { return header.Get(caller.HeaderRequestID) },
+		SetRequestID: func(header http.Header, id string) { header.Set(caller.HeaderRequestID, id) },
+		Limits: func() fleet.ClientLimits {
+			return fleet.ClientLimits{
+				HeaderTimeout: time.Duration(callers.HeaderTimeout), HeaderBytes: maxHeaderBytes, IdleTimeout: callerIdleTimeout,
+			}
+		},
+		Log: d.log,
+	})
 	d.operators, err = newOperatorServer(d.settings.Operators, d, d.components.metrics)
 	return errors.Trace(err)
 }
@@ -182,23 +193,26 @@
 	}
 }
 
+// incompleteDrainDivisor sets the part of the drain timeout after which a planned stop
+// refuses requests that have not arrived completely.
+const incompleteDrainDivisor = 2
+
 func (d *Router) stop() error {
 	d.log.Log(eventlog.Stopping, "signal", "stop")
 	d.router.Drain()
 	d.leaving.Store(true)
 	time.Sleep(time.Duration(d.settings.LeaveNotice))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainTimeout))
+	drainTimeout := time.Duration(d.settings.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	err := d.callerServer.Shutdown(ctx)
-	unfinished := 0
-	if err != nil {
-		unfinished = 1
-		_ = d.callerServer.Close()
-	}
+	cut := d.callerServer.Drain(ctx, time.Now().Add(drainTimeout/incompleteDrainDivisor))
 	d.operators.close()
 	d.components.close()
-	d.log.Log(eventlog.Stopped, "cut_requests", unfinished)
-	return errors.Trace(err)
+	d.log.Log(eventlog.Stopped, "cut_requests", cut)
+	if cut > 0 {
+		return errors.Errorf("%d requests were cut by the planned stop", cut)
+	}
+	return nil
 }
 
 // Ready implements operator.Process.
--- a/pkg/daemon/shared.go
+++ b/pkg/daemon/shared.go
@@ -169,14 +169,26 @@
 
 // listen opens a TCP listener, with TLS if certificate files are set.
 func listen(address string, files config.TLS) (net.Listener, error) {
+	encryption, err := serverEncryption(files)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	listener, err := net.Listen("tcp", address)
-	if err != nil || files.CertFile == "" {
+	if err != nil || encryption == nil {
 		return listener, errors.Trace(err)
 	}
+	return tls.NewListener(listener, encryption), nil
+}
+
+// serverEncryption returns the TLS configuration of a listener, or nil if no certificate files
+// are set.
+func serverEncryption(files config.TLS) (*tls.Config, error) {
+	if files.CertFile == "" {
+		return nil, nil
+	}
 	pair, err := tlsfiles.Load(files.CertFile, files.KeyFile)
 	if err != nil {
-		_ = listener.Close()
 		return nil, errors.Trace(err)
 	}
-	return tls.NewListener(listener, pair.ServerConfig()), nil
+	return pair.ServerConfig(), nil
 }
