The stand-in of an engine refuses connections as soon as it has crashed

What was seen (KNOWN-RED, TestFollower): follow_test.go:63, a request of the test after a crash of the engine fails; 'context canceled' in the listed run, 'connection refused' in one of 48 runs now, eight side by side at load 30.

Cause, a fault of the stand-in: Crash began the next boot at once and closed the listener later, in another goroutine. The follower could reconnect to the old listener and read the new boot's ID, the test took the engine for restarted, and its request came within the downtime. Closing the server is not enough either: it doesn't close a listener that it does not serve yet.

The listener and the server are closed before the next boot begins. That 'context canceled' had the same cause is likely (a request on the old listener) and not shown.

Evidence: TestCrashRefusesConnections: 15, 13 and 7 of 50 engines accepted a connection before (13 to 15 with the server closed first), none in 3 of 3 runs after. TestFollower with the race detector, eight side by side at load 28: 96 of 96 green.

--- a/pkg/fake/enginefake/engine.go
+++ b/pkg/fake/enginefake/engine.go
@@ -127,18 +127,17 @@
 // with a new boot ID.
 func (e *Engine) Crash(downtime time.Duration) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.closed {
-		e.mu.Unlock()
 		return
 	}
-	server := e.server
 	e.endBoot()
+	// The next boot must not answer on this listener. The server doesn't close it if it does
+	// not serve yet.
+	_ = e.listener.Close()
+	_ = e.server.Close()
 	e.volatileState = e.newVolatileState()
-	e.tasks.Go(func() {
-		_ = server.Close()
-		e.relisten(downtime)
-	})
-	e.mu.Unlock()
+	e.tasks.Go(func() { e.relisten(downtime) })
 }
 
 // relisten opens a new listener after downtime and retries until that succeeds
--- a/pkg/fake/enginefake/engine_test.go
+++ b/pkg/fake/enginefake/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -299,3 +300,24 @@
 		})
 	})
 }
+
+// TestCrashRefusesConnections guards against an engine that answers with its next boot on the
+// listener of the previous one, before it is down.
+func TestCrashRefusesConnections(t *testing.T) {
+	Convey("An engine refuses connections as soon as it has crashed", t, func() {
+		const engines = 50
+		accepted := 0
+		for range engines {
+			e, err := Start(Config{MinStepDuration: time.Millisecond, TotalBlocks: 8})
+			So(err, ShouldBeNil)
+			e.Crash(time.Minute)
+			conn, err := net.Dial("tcp", e.Addr())
+			if err == nil {
+				accepted++
+				_ = conn.Close()
+			}
+			e.Close()
+		}
+		So(accepted, ShouldEqual, 0)
+	})
+}
