An unconfirmed write to the store names its causes

CompareAndSwapConfirmed dropped the error of the write and that of the confirming read, so no log could tell a timeout from a reset or a refused connection.

Both are in the error now, whose type is the same. TestUnconfirmedWriteNamesItsCauses: red before (the text is 'key-value service unavailable'), green after.

--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -153,3 +153,27 @@
 		So(server.Counters().RateLimited, ShouldEqual, 0)
 	})
 }
+
+// unresponsiveStore loses the responses to all calls.
+type unresponsiveStore struct {
+	kv.Store
+}
+
+func (unresponsiveStore) CompareAndSwap(context.Context, kv.Put) (uint64, error) {
+	return 0, errors.WithType(errors.New("connection reset"), kv.ErrUnavailable)
+}
+
+func (unresponsiveStore) Get(context.Context, string) (kv.Entry, error) {
+	return kv.Entry{}, errors.New("connection refused")
+}
+
+// TestUnconfirmedWriteNamesItsCauses guards against an error that tells neither why a write got
+// no response nor why it could not be confirmed.
+func TestUnconfirmedWriteNamesItsCauses(t *testing.T) {
+	Convey("The error of an unconfirmed write has the causes of both calls", t, func() {
+		_, err := platform.CompareAndSwapConfirmed(t.Context(), unresponsiveStore{}, kv.Put{Key: "k"})
+		So(errors.Is(err, kv.ErrUnavailable), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "connection reset")
+		So(err.Error(), ShouldContainSubstring, "connection refused")
+	})
+}
--- a/pkg/platform/retry.go
+++ b/pkg/platform/retry.go
@@ -38,8 +38,8 @@
 
 // CompareAndSwapConfirmed writes put to store. If the response is lost, it reads the
 // key and compares the stored value with put.Value, which must contain a nonce. It
-// returns kv.ErrUnavailable only if the read does not determine the outcome: it failed,
-// or the key still has the expected revision, since the write may take effect later.
+// returns an error of type kv.ErrUnavailable only if the read does not determine the outcome: it
+// failed, or the key still has the expected revision, since the write may take effect later.
 func CompareAndSwapConfirmed(ctx context.Context, store kv.Store, put kv.Put) (uint64, error) {
 	revision, err := store.CompareAndSwap(ctx, put)
 	if !errors.Is(err, kv.ErrUnavailable) {
@@ -51,7 +51,9 @@
 		return entry.Revision, nil
 	case getErr == nil && entry.Revision != put.ExpectRevision:
 		return 0, kv.ErrConflict
+	case getErr == nil:
+		return 0, errors.WithType(errors.Annotate(err, "write without effect so far"), kv.ErrUnavailable)
 	default:
-		return 0, kv.ErrUnavailable
+		return 0, errors.WithType(errors.Annotatef(err, "unconfirmed write (read: %v)", getErr), kv.ErrUnavailable)
 	}
 }
