Ask the witnesses of a stream also where a service seems to have one software version

What callers saw: a stream of two halves.

Cause: a process took the only version that it sees for proof that there is no other.

The witnesses are asked in any case, which costs a round trip for each stream that is resumed at a process that didn't begin it, and up to 100 ms if one of them has just ended. If none knows the stream, the process relies on what it sees, unless it reaches neither a witness nor the registry: then the request is refused, not run. The rule by age goes.

Ruled out: to refuse while the registry is unavailable, since peers know more and an outage of the store would end all resumptions.

Tests of streams green with the race detector.

--- a/pkg/entry/streamorigins.go
+++ b/pkg/entry/streamorigins.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
-	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
 	"github.com/baobabhub/baobabhub/pkg/relay"
 	"github.com/baobabhub/baobabhub/pkg/streamorigin"
@@ -38,6 +37,8 @@
 type originQuestion struct {
 	// outstanding holds the processes that have not answered.
 	outstanding map[string]bool
+	// answered is set once any process has answered.
+	answered bool
 	// source is the process that knew the origin; empty if none has.
 	source string
 	// done is closed once a process knew the origin, or all have answered.
@@ -68,48 +69,35 @@
 	return softwareVersion, source != originUnknown
 }
 
-// find returns the software version that began a stream, and who knew it.
+// find returns the software version that began a stream, and who knew it. That this process
+// sees one version is no proof: another one may have left before it started, or appeared while it
+// could not reach the store. So it asks the witnesses first, and relies on what it sees only if
+// any of them answers, there is none, or the registry is available.
 func (o *streamOrigins) find(ctx context.Context, stream relay.StreamRef) (softwareVersion, source string) {
-	versions := o.versions(stream.Service)
-	hasOneVersion := len(versions) == 1
-	if hasOneVersion && !o.mayMissVersions() {
-		return versions[0], originOnlyVersion
+	answered := false
+	if stream.RequestID != "" {
+		key := keyOf(stream)
+		if version, known := o.table.Version(o.entry.uptime(), key); known {
+			return version, sourceSelf
+		}
+		source, answered = o.ask(ctx, key)
+		if version, known := o.table.Version(o.entry.uptime(), key); known {
+			return version, source
+		}
 	}
-	softwareVersion, source = o.lookUp(ctx, stream)
-	if source == originUnknown && hasOneVersion {
+	versions := o.versions(stream.Service)
+	if len(versions) == 1 && (answered || o.entry.directory.IsRegistryAvailable()) {
 		return versions[0], originOnlyVersion
 	}
-	return softwareVersion, source
-}
-
-// mayMissVersions reports whether a version that counts as present may have left before this
-// process started. The directory doesn't know of it then, but the witnesses of its streams do.
-func (o *streamOrigins) mayMissVersions() bool {
-	return o.entry.uptime() <= fleet.DepartedSoftwareTTL
-}
-
-// lookUp returns what this process or a witness knows of a stream's origin.
-func (o *streamOrigins) lookUp(ctx context.Context, stream relay.StreamRef) (softwareVersion, source string) {
-	if stream.RequestID == "" {
-		return "", originUnknown
-	}
-	key := keyOf(stream)
-	if version, known := o.table.Version(o.entry.uptime(), key); known {
-		return version, sourceSelf
-	}
-	source = o.ask(ctx, key)
-	version, known := o.table.Version(o.entry.uptime(), key)
-	if !known {
-		return "", originUnknown
-	}
-	return version, source
+	return "", originUnknown
 }
 
-// ask asks the witnesses of a stream, and returns the first of them that knows it, or "".
-func (o *streamOrigins) ask(ctx context.Context, key streamorigin.Key) (source string) {
+// ask asks the witnesses of a stream. It returns the first of them that knows it, or "", and
+// whether any has answered or there is none to ask.
+func (o *streamOrigins) ask(ctx context.Context, key streamorigin.Key) (source string, answered bool) {
 	witnesses := o.entry.members.witnesses(key)
 	if len(witnesses) == 0 {
-		return ""
+		return "", true
 	}
 	question := o.addQuestion(key, witnesses)
 	defer o.removeQuestion(key, question)
@@ -123,7 +111,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return question.source
+	return question.source, question.answered
 }
 
 func (o *streamOrigins) addQuestion(key streamorigin.Key, asked []gossip.Member) *originQuestion {
@@ -186,6 +174,7 @@
 		if len(question.outstanding) == 0 {
 			continue
 		}
+		question.answered = true
 		delete(question.outstanding, sender)
 		if known {
 			question.source = sender
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -17,9 +17,9 @@
 	// target has left. It exceeds the age of a copy that the registry is restored
 	// from, and the time for which a leaving target still serves.
 	departedTTL = time.Minute
-	// DepartedSoftwareTTL is the time for which a software version counts as present after
+	// departedSoftwareTTL is the time for which a software version counts as present after
 	// its last target has left: callers still hold streams that it began.
-	DepartedSoftwareTTL = 30 * time.Second
+	departedSoftwareTTL = 30 * time.Second
 )
 
 // Directory holds the targets that may receive requests. It is safe for
@@ -83,6 +83,13 @@
 	d.registryUnavailable = unavailable
 }
 
+// IsRegistryAvailable reports whether the registry has answered the latest call.
+func (d *Directory) IsRegistryAvailable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.registryUnavailable
+}
+
 // RegistryRestored records that the registry was restored from an older copy.
 func (d *Directory) RegistryRestored(now time.Duration) {
 	d.mu.Lock()
@@ -215,7 +222,7 @@
 		}
 	}
 	for s, at := range d.departedSoftware {
-		if s.service == service && now-at <= DepartedSoftwareTTL {
+		if s.service == service && now-at <= departedSoftwareTTL {
 			present[s.version] = true
 		}
 	}
@@ -227,7 +234,7 @@
 func (d *Directory) Prune(now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	maps.DeleteFunc(d.departedSoftware, func(_ software, at time.Duration) bool { return now-at > DepartedSoftwareTTL })
+	maps.DeleteFunc(d.departedSoftware, func(_ software, at time.Duration) bool { return now-at > departedSoftwareTTL })
 	for boot, left := range d.departed {
 		e, ok := d.entries[boot.ID]
 		listed := ok && e.target.Boot() == boot
