--- a/test/soak/crashes_test.go
+++ b/test/soak/crashes_test.go
@@ -182,15 +182,7 @@
 	} {
 		req.Header.Set(name, value)
 	}
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
+	return d.status(req)
 }
 
 // call sends requests to one process until done is closed.
--- a/test/soak/resume_test.go
+++ b/test/soak/resume_test.go
@@ -55,15 +55,7 @@
 	req := d.streamRequest(t, process, fmt.Sprint("resumed-", n), n)
 	req.Header.Set("Last-Event-Id", "1")
 	req.Header.Set("Resumes", begun)
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0
-	}
-	return resp.StatusCode
+	return d.status(req)
 }
 
 func (d *deployment) streamRequest(t *testing.T, process int, id string, n int) *http.Request {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -313,6 +314,19 @@
 	d.t.Errorf("timed out waiting for: %s", description)
 }
 
+// status sends a request and returns the status of its complete response, or 0 without one.
+func (d *deployment) status(req *http.Request) int {
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
 // close stops all processes, links and fakes of the deployment.
 func (d *deployment) close() {
 	for _, p := range d.processes {
