--- a/pkg/entry/trials.go
+++ b/pkg/entry/trials.go
@@ -22,8 +22,7 @@
 
 // beginTrial lets this process send one request with a quarantined suspect to a target. The
 // trial has to be in the store first, so that no two processes begin the same one: the write
-// fails if the store holds a trial that this process doesn't know. Until then other processes
-// don't hear of it.
+// fails if the store holds a trial that this process doesn't know.
 func (k *quarantineKeeper) beginTrial(ctx context.Context, suspect quarantine.Suspect) {
 	k.trialCount++
 	id := fmt.Sprintf("%s-%d", k.entry.bootID, k.trialCount)
