--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -85,10 +85,18 @@
 	e.conns = map[net.Conn]struct{}{}
 }
 
-func (e *engine) address() string {
+// setSoftware sets the version of the software of the next run.
+func (e *engine) setSoftware(version string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.addr
+	e.software = version
+}
+
+// softwareVersion returns the version of the software of the present run.
+func (e *engine) softwareVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.software
 }
 
 // registryEntry returns the engine's entry in the store.
--- a/review/_standin/longstream.go
+++ b/review/_standin/longstream.go
@@ -32,13 +32,14 @@
 	if last, err := strconv.Atoi(x.r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
-	x.engine.rec.log("engine: %s (%s) begins %s at event %d, resumes %q", x.engine.id, x.engine.software, x.id, first, x.r.Header.Get("Resumes"))
+	software := x.engine.softwareVersion()
+	x.engine.rec.log("engine: %s (%s) begins %s at event %d, resumes %q", x.engine.id, software, x.id, first, x.r.Header.Get("Resumes"))
 	time.Sleep(prefillTime)
 	if !x.send(x.head(200, "text/event-stream", x.stamp(), "X-Baobabhub-Weights-Versions: 1", "X-Baobabhub-Load: 1,0,64", "Transfer-Encoding: chunked") + "\r\n") {
 		return
 	}
 	for n := first; n <= longEvents; n++ {
-		text := event(n, x.engine.software)
+		text := event(n, software)
 		if !x.send(fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) {
 			x.engine.rec.log("engine: %s ends %s before event %d: the channel is closed", x.engine.id, x.id, n)
 			return
