--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -28,8 +29,8 @@
 	program string
 	store   *platformfake.Store
 	dir     string
-	// block is the third byte of the loopback addresses of this run.
-	block   int
+	// network holds the first three bytes of the loopback addresses of this run.
+	network string
 	engines []*engine
 	entries []*entry
 }
@@ -46,9 +47,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{rec: rec, program: program, store: platformfake.NewStore(), dir: dir, block: 1 + os.Getpid()%250}, nil
+	return &fleet{rec: rec, program: program, store: platformfake.NewStore(), dir: dir, network: freeNetwork()}, nil
 }
 
+// freeNetwork returns the first three bytes of loopback addresses that no other run uses: the port
+// for messages between the processes is free at the first of them.
+func freeNetwork() string {
+	for {
+		network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
+		conn, err := net.ListenPacket("udp4", fmt.Sprintf("%s.%d:%d", network, firstHost, peerPort))
+		if err == nil {
+			_ = conn.Close()
+			return network
+		}
+	}
+}
+
+// firstHost is the last byte of the address of the first entry process.
+const firstHost = 10
+
 // close ends everything that the fleet has started.
 func (f *fleet) close() {
 	for _, e := range f.entries {
@@ -110,7 +127,7 @@
 
 // addEntry adds an entry process without starting it. adjust may change its settings.
 func (f *fleet) addEntry(zone string, storeAddress string, bounds object, adjust func(settings object)) (*entry, error) {
-	ip := fmt.Sprintf("127.9.%d.%d", f.block, 10+len(f.entries))
+	ip := fmt.Sprintf("%s.%d", f.network, firstHost+len(f.entries))
 	ports, err := freePorts(ip, 3)
 	if err != nil {
 		return nil, err
@@ -212,5 +229,9 @@
 			return nil
 		}
 	}
+	for _, e := range f.entries {
+		log, _ := os.ReadFile(e.logFile.Name())
+		f.rec.log("%s is ready: %v; the end of its log: %s", e.name, e.isReady(), log[max(0, len(log)-2000):])
+	}
 	return errNotReady
 }
