--- a/review/_standin/canary.go
+++ b/review/_standin/canary.go
@@ -7,14 +7,14 @@
 
 func init() { cases["canary"] = playCanary }
 
-// Settings of the case: engines of a second software version appear, and two seconds later one
+// Settings of the case: engines of a second software version appear, and a second later one
 // entry process is killed.
 const (
 	canaryEntries   = 5
-	canaryRate      = 15
+	canaryRate      = 25
 	canaryLength    = 24 * time.Second
 	canaryAfter     = 12 * time.Second
-	killAfterCanary = 2 * time.Second
+	killAfterCanary = time.Second
 	restartDelay    = time.Second
 	minResumed      = 12
 )
