--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -51,8 +51,26 @@
 	// are allowed in addition.
 	RetryRatio float64
 	RetryBurst float64
+	// VersionRollouts makes the system carry out the operators' orders to move a
+	// service to another software version. ExposureShare is the largest share of the
+	// service's requests that a faulty version may receive, ExposureSlack the number of
+	// requests allowed in addition, and RollbackTime the time after enough evidence
+	// within which a faulty version must receive no more requests.
+	VersionRollouts bool
+	ExposureShare   float64
+	ExposureSlack   int64
+	RollbackTime    time.Duration
+	// OverloadControl makes the process hold back or refuse requests that the engines
+	// of a service can't serve in time.
+	OverloadControl bool
+	// HedgeShare is the largest share of a service's requests that may be sent a second
+	// time because the first response is late; 0 disables hedging.
+	HedgeShare float64
 }
 
+// maxHedgeShare is the largest allowed HedgeShare.
+const maxHedgeShare = 0.2
+
 // Defaults of optional settings.
 const (
 	defaultLeaseTTL        = 3 * time.Second
@@ -93,6 +111,8 @@
 	require(s.StoreAddress != "", "the store's address is missing")
 	require(s.PeerPort > 0 && s.PeerPort < 1<<16, "the peer port is missing or out of range")
 	require(s.RetryRatio >= 0 && s.RetryBurst >= 0, "the retry budget is negative")
+	require(s.ExposureShare >= 0 && s.ExposureShare <= 1 && s.ExposureSlack >= 0 && s.RollbackTime >= 0, "the exposure of a new software version is out of range")
+	require(s.HedgeShare >= 0 && s.HedgeShare <= maxHedgeShare, "the share of hedged requests is out of range")
 	if len(problems) == 0 {
 		return nil
 	}
