Regular messages to the group report recent changes of usage only

Change: a message holds the accounts that changed in the last 0.6 s and the newest announced version; once a second, after a late message and when a process is heard for the first time it holds everything.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -229,17 +229,17 @@
 	return b.versionHistory(model).Announce(at, version)
 }
 
-// maxAnnouncedVersions is the number of versions of a model whose announcements a
+// MaxAnnouncedVersions is the number of versions of a model whose announcements a
 // process reports. Older ones are no longer loaded by any engine.
-const maxAnnouncedVersions = 6
+const MaxAnnouncedVersions = 6
 
 // AnnouncementAges calls fn with the newest announced weights versions of each
-// model and the times since their announcements.
-func (b *Balancer) AnnouncementAges(now time.Duration, fn func(model string, version int64, age time.Duration)) {
+// model, at most limit of them, and the times since their announcements.
+func (b *Balancer) AnnouncementAges(now time.Duration, limit int, fn func(model string, version int64, age time.Duration)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for model, history := range b.versionHistories {
-		history.Latest(maxAnnouncedVersions, func(version int64, announcedAt time.Duration) { fn(model, version, now-announcedAt) })
+		history.Latest(limit, func(version int64, announcedAt time.Duration) { fn(model, version, now-announcedAt) })
 	}
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -143,6 +143,7 @@
 	// hubSequence counts the states of the own group that this process has sent.
 	// Only the goroutine that sends them uses it.
 	hubSequence     uint64
+	stateSchedule   *stateSchedule
 	overdueDetector *overdueConfigDetector
 
 	stopping atomic.Bool
@@ -179,6 +180,7 @@
 	}
 	e.drainExpired, e.expireDrain = context.WithCancel(context.Background())
 	e.limiter = tokenrate.New(settings.FirstStart)
+	e.stateSchedule = newStateSchedule()
 	e.members = newMemberList(e)
 	e.lease = newLeaseManager(e)
 	e.overdueDetector = newOverdueConfigDetector()
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -92,6 +92,8 @@
 	record        memberRecord
 	member        gossip.Member
 	lastMessageAt time.Duration
+	// heardBoot is the run of the process that sent the latest message.
+	heardBoot string
 	// silent is set while no messages from the peer arrive. Only processes of the
 	// same group send messages regularly.
 	silent bool
@@ -283,19 +285,23 @@
 	}
 }
 
-// recordMessage records the arrival of a message from a peer of the own group.
-func (m *memberList) recordMessage(vm, boot string) {
+// recordMessage records the arrival of a message from a peer of the own group. It reports
+// whether it is the first one of the peer's run, or the first one after a time of silence.
+func (m *memberList) recordMessage(vm, boot string) (first bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p, ok := m.byVM[vm]
 	if !ok {
-		return
+		return false
 	}
+	first = p.silent || p.heardBoot != boot || m.entry.uptime()-p.lastMessageAt > m.silenceTimeout()
+	p.heardBoot = boot
 	if p.silent {
 		p.silent = false
 		m.entry.log.Log(eventlog.PeerHeard, "peer", vm, "boot", boot)
 	}
 	p.lastMessageAt = m.entry.uptime()
+	return first
 }
 
 // markSilentPeers marks the peers whose messages have stopped arriving, discards
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -1,18 +1,68 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
+	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
 	"github.com/baobabhub/baobabhub/pkg/tokenrate"
 )
 
-// news returns what every process should know, without the engines' updates.
-func (e *Entry) news(now time.Duration) gossip.News {
+const (
+	// completeStateInterval is the interval at which a process sends its complete state to
+	// its group. The other messages leave out what changes rarely.
+	completeStateInterval = time.Second
+	// completeStateTime is the time for which all messages hold the complete state after
+	// another process has been heard, so that it needs not wait for the next one.
+	completeStateTime = 300 * time.Millisecond
+	// recentUsageTime is the time for which a changed usage is reported in each message, so
+	// that the loss of a few messages does no harm.
+	recentUsageTime = 600 * time.Millisecond
+)
+
+// stateSchedule determines which messages to the group hold the complete state.
+type stateSchedule struct {
+	mu             sync.Mutex
+	lastCompleteAt time.Duration
+	lastAt         time.Duration
+	completeUntil  time.Duration
+}
+
+func newStateSchedule() *stateSchedule {
+	return &stateSchedule{lastCompleteAt: -completeStateInterval, lastAt: -completeStateInterval}
+}
+
+// next reports whether the message that is sent now holds the complete state. One that
+// follows the previous message late does, since its receivers may not accept recent changes
+// only.
+func (s *stateSchedule) next(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := now-s.lastAt > recentUsageTime/2
+	s.lastAt = now
+	if !late && now >= s.completeUntil && now-s.lastCompleteAt < completeStateInterval {
+		return false
+	}
+	s.lastCompleteAt = now
+	return true
+}
+
+// peerHeard makes the next messages hold the complete state for a process that has been
+// heard for the first time since its start or since a time of silence.
+func (s *stateSchedule) peerHeard(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.completeUntil = now + completeStateTime
+}
+
+// news returns what every process should know, without the engines' updates and with at most
+// the given number of announced weights versions of each model.
+func (e *Entry) news(now time.Duration, announcedVersions int) gossip.News {
 	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), Ended: e.ended.recent(now), Suspects: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now)}
-	e.balancer.AnnouncementAges(now, func(model string, version int64, age time.Duration) {
+	e.balancer.AnnouncementAges(now, announcedVersions, func(model string, version int64, age time.Duration) {
 		news.AnnouncedVersions = append(news.AnnouncedVersions, gossip.AnnouncedVersion{Model: model, Version: version, Age: age})
 	})
 	if config := e.config.Load(); config != nil {
@@ -34,11 +84,15 @@
 func (e *Entry) groupMessage() gossip.Message {
 	now := e.uptime()
 	m := gossip.Message{
-		Sender: e.settings.VM, BootID: e.bootID, News: e.news(now),
-		Usage:       e.limiter.Usage(now),
+		Sender: e.settings.VM, BootID: e.bootID,
 		TargetLoads: e.balancer.LocalLoads(now),
 		Groups:      e.members.groups.direct(now),
 	}
+	if e.stateSchedule.next(now) {
+		m.News, m.Usage = e.news(now, balance.MaxAnnouncedVersions), e.limiter.Usage(now)
+	} else {
+		m.News, m.Usage, m.UsageWithin = e.news(now, 1), e.limiter.RecentUsage(now, recentUsageTime), recentUsageTime
+	}
 	m.Unreachable = e.balancer.Unreachable(now)
 	e.addLeaderNews(&m.News, func() []gossip.EngineStatus { return e.rollouts.statuses.list(now) })
 	return m
@@ -49,7 +103,7 @@
 	now := e.uptime()
 	e.hubSequence++
 	state := gossip.Message{
-		Sender: e.settings.VM, BootID: e.bootID, Sequence: e.hubSequence, News: e.news(now),
+		Sender: e.settings.VM, BootID: e.bootID, Sequence: e.hubSequence, News: e.news(now, balance.MaxAnnouncedVersions),
 		Usage:       e.limiter.GroupUsage(now),
 		TargetLoads: e.balancer.GroupLoads(now, e.members.groupPeerNames()),
 	}
@@ -66,7 +120,7 @@
 // urgentMessage returns the news that all processes need immediately.
 func (e *Entry) urgentMessage() gossip.Message {
 	now := e.uptime()
-	m := gossip.Message{Sender: e.settings.VM, BootID: e.bootID, Partial: true, News: e.news(now)}
+	m := gossip.Message{Sender: e.settings.VM, BootID: e.bootID, Partial: true, News: e.news(now, balance.MaxAnnouncedVersions)}
 	e.addLeaderNews(&m.News, func() []gossip.EngineStatus { return e.rollouts.statuses.takeUrgent(now) })
 	return m
 }
@@ -101,10 +155,12 @@
 
 // applyPeerState applies the state of a peer of the own group.
 func (e *Entry) applyPeerState(now time.Duration, m *gossip.Message) {
-	e.members.recordMessage(m.Sender, m.BootID)
+	if e.members.recordMessage(m.Sender, m.BootID) {
+		e.stateSchedule.peerHeard(now)
+	}
 	e.unreachable.record(now, m.Unreachable)
 	e.balancer.SetPeerLoads(m.Sender, m.TargetLoads)
-	e.applyUsage(now, tokenrate.Report{Peer: m.Sender, Source: m.Sender, Boot: m.BootID, Processes: 1, Accounts: m.Usage})
+	e.applyUsage(now, tokenrate.Report{Peer: m.Sender, Source: m.Sender, Boot: m.BootID, Processes: 1, Accounts: m.Usage, ChangesWithin: m.UsageWithin})
 }
 
 // applyGroup applies the state of another group, unless a newer one is known.
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -26,6 +26,9 @@
 	News
 	// Usage holds the tokens that the process has admitted, by client account.
 	Usage map[string]tokenrate.Usage
+	// UsageWithin, if not 0, is set if Usage holds only the accounts whose usage has
+	// changed within that time.
+	UsageWithin time.Duration
 	// TargetLoads holds the load that the process places on each target.
 	TargetLoads map[balance.TargetKey]balance.TargetLoad
 	// Partial marks a message that does not hold the sender's complete state.
@@ -127,7 +130,7 @@
 	state := &gossippb.State{
 		From: m.Sender, Boot: m.BootID, Sequence: m.Sequence, Config: m.ConfigVersion, Fence: m.FencingToken,
 		StoreEra: m.StoreEra, LeaderMs: uint32(m.LeaderRemaining.Milliseconds()), Partial: m.Partial, DrainReport: m.DrainReport,
-		RecordService: m.RecordService,
+		RecordService: m.RecordService, UsageWithinMs: uint32(m.UsageWithin.Milliseconds()),
 	}
 	state.Leaving = encodeBoots(m.Leaving)
 	state.Ended = encodeBoots(m.Ended)
@@ -259,7 +262,7 @@
 func decodeState(state *gossippb.State) Message {
 	m := Message{
 		Sender: state.GetFrom(), BootID: state.GetBoot(), Sequence: state.GetSequence(), Partial: state.GetPartial(), DrainReport: state.GetDrainReport(),
-		RecordService: state.GetRecordService(),
+		RecordService: state.GetRecordService(), UsageWithin: time.Duration(state.GetUsageWithinMs()) * time.Millisecond,
 		News: News{
 			ConfigVersion: state.GetConfig(), StoreEra: state.GetStoreEra(),
 			FencingToken: state.GetFence(), LeaderRemaining: time.Duration(state.GetLeaderMs()) * time.Millisecond,
--- a/pkg/tokenrate/tokenrate.go
+++ b/pkg/tokenrate/tokenrate.go
@@ -38,6 +38,8 @@
 	// admitted is the number of tokens that this process has admitted since
 	// its start.
 	admitted float64
+	// changedAt is the time at which admitted last changed.
+	changedAt time.Duration
 	// groupAdmitted is the number of tokens that the peers of this process's
 	// group have admitted since its start, according to their reports.
 	groupAdmitted float64
@@ -82,6 +84,20 @@
 	// Processes is the number of processes that the report covers.
 	Processes int
 	Accounts  map[string]Usage
+	// ChangesWithin, if not 0, marks a report that holds only the accounts whose usage
+	// has changed within that time, without their levels.
+	ChangesWithin time.Duration
+}
+
+// maxReportJitter is by how much the intervals between reports may differ between
+// their sender and their receiver.
+const maxReportJitter = 200 * time.Millisecond
+
+// continues reports whether a report that holds only recent changes misses none since
+// the peer's previous report. Otherwise the next complete report has to be awaited.
+func (p *peerState) continues(now time.Duration, report *Report) bool {
+	return p.reported && p.source == report.Source && p.boot == report.Boot &&
+		now-p.reportedAt <= report.ChangesWithin-maxReportJitter
 }
 
 // Usage is the token usage of one account at one process.
@@ -130,6 +146,7 @@
 	}
 	b.level -= tokens
 	b.admitted += tokens
+	b.changedAt = now
 	return Decision{Admitted: true, Level: b.level}
 }
 
@@ -143,6 +160,7 @@
 	b := l.bucket(now, account)
 	b.level = min(b.burst, b.level+tokens)
 	b.admitted -= tokens
+	b.changedAt = now
 }
 
 func (l *Limiter) bucket(now time.Duration, account *fleet.Account) *bucket {
@@ -209,7 +227,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p, ok := l.peers[report.Peer]
-	if !ok {
+	if !ok || (report.ChangesWithin > 0 && !p.continues(now, &report)) {
 		return
 	}
 	for _, b := range l.buckets {
@@ -228,6 +246,11 @@
 		}
 		b := l.bucket(now, account)
 		fromZero := sameSource || (firstReport && l.unaccounted(b, p))
+		if report.ChangesWithin > 0 && !b.levelKnown {
+			// The next complete report holds the level that these tokens are part of.
+			p.admitted[accountName] = usage.Admitted
+			continue
+		}
 		l.applyUsage(now, b, p, accountName, usage, fromZero)
 	}
 }
@@ -268,6 +291,20 @@
 	return l.usage(now, func(b *bucket) float64 { return b.admitted })
 }
 
+// RecentUsage returns the usage of the accounts of which this process has admitted
+// tokens, or got some back, within the given time, without their levels.
+func (l *Limiter) RecentUsage(now, within time.Duration) map[string]Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	accounts := map[string]Usage{}
+	for name, b := range l.buckets {
+		if b.admitted != 0 && now-b.changedAt <= within {
+			accounts[name] = Usage{Admitted: math.Round(b.admitted)}
+		}
+	}
+	return accounts
+}
+
 // GroupUsage returns the usage of the active accounts by this process and the
 // peers of its group, to be reported to other groups.
 func (l *Limiter) GroupUsage(now time.Duration) map[string]Usage {
