The response to a write of the quarantine doesn't hide a later deletion

Cause: the watch's news of the deletion was applied before the response to the write that it followed; the response then recorded the deleted value as stored, so nothing was written again. Change: what is known of the key carries the store's revision at which it was observed, and an older observation is ignored.

--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -122,17 +122,17 @@
 func (m *memberList) applyUpdate(u kv.Update) {
 	m.mu.Lock()
 	if u.Full {
-		m.prepareFullUpdate()
+		m.prepareFullUpdate(u.Revision)
 	}
 	for _, entry := range u.Entries {
-		m.applyEntry(entry)
+		m.applyEntry(entry, u.Revision)
 	}
 	for _, change := range u.Changes {
 		if change.Deleted {
-			m.applyDeletion(change.Key)
+			m.applyDeletion(change.Key, change.Revision)
 			continue
 		}
-		m.applyEntry(change.Entry)
+		m.applyEntry(change.Entry, change.Revision)
 	}
 	m.loaded = true
 	m.mu.Unlock()
@@ -171,9 +171,9 @@
 
 // prepareFullUpdate clears the leader and unregisters all peers; the full list
 // that follows registers those that it contains.
-func (m *memberList) prepareFullUpdate() {
+func (m *memberList) prepareFullUpdate(revision uint64) {
 	m.clearLeader()
-	m.entry.quarantine.applyStored(nil, 0)
+	m.entry.quarantine.applyStored(nil, 0, revision)
 	for vm := range m.byVM {
 		m.unregister(vm)
 	}
@@ -206,7 +206,8 @@
 	m.entry.balancer.SetPeerLoads(vm, nil)
 }
 
-func (m *memberList) applyEntry(entry kv.Entry) {
+// applyEntry applies an entry as observed at a revision, which is that of its write or later.
+func (m *memberList) applyEntry(entry kv.Entry, observedAt uint64) {
 	if entry.Key == m.entry.platform.Keys.LeaderKey {
 		var record leaderRecord
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
@@ -218,7 +219,7 @@
 		return
 	}
 	if entry.Key == m.entry.platform.Keys.QuarantineKey {
-		m.entry.quarantine.applyStored(entry.Value, entry.Revision)
+		m.entry.quarantine.applyStored(entry.Value, entry.Revision, observedAt)
 		return
 	}
 	vm, ok := strings.CutPrefix(entry.Key, m.entry.platform.Keys.RoutersPrefix)
@@ -242,13 +243,14 @@
 	m.byVM[vm] = &peer{record: record, member: member, lastMessageAt: -time.Hour, silent: true}
 }
 
-func (m *memberList) applyDeletion(key string) {
+// applyDeletion applies the deletion of a key at a revision.
+func (m *memberList) applyDeletion(key string, revision uint64) {
 	if key == m.entry.platform.Keys.LeaderKey {
 		m.clearLeader()
 		return
 	}
 	if key == m.entry.platform.Keys.QuarantineKey {
-		m.entry.quarantine.applyStored(nil, 0)
+		m.entry.quarantine.applyStored(nil, 0, revision)
 		return
 	}
 	m.unregister(strings.TrimPrefix(key, m.entry.platform.Keys.RoutersPrefix))
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -59,6 +59,8 @@
 	// stored holds the records in the store, and storedRevision the key's revision.
 	stored         []quarantine.Record
 	storedRevision uint64
+	// observedAt is the store's revision at which the key was last observed.
+	observedAt uint64
 }
 
 func newQuarantineKeeper(entry *Entry) *quarantineKeeper {
@@ -222,9 +224,9 @@
 	}
 }
 
-// applyStored applies the value of the store's key. The value is nil and the revision 0
-// if the key does not exist.
-func (k *quarantineKeeper) applyStored(value []byte, revision uint64) {
+// applyStored applies the value that the store's key had at the revision observedAt. The value
+// is nil and the revision 0 if the key did not exist.
+func (k *quarantineKeeper) applyStored(value []byte, revision, observedAt uint64) {
 	var record quarantineRecord
 	if len(value) > 0 {
 		if err := json.Unmarshal(value, &record); err != nil {
@@ -235,14 +237,20 @@
 	}
 	// A write at this revision replaces the records, so they must be known before it.
 	k.merge(record.Suspects, sourceStore)
-	k.setStored(record.Suspects, revision)
+	k.setStored(record.Suspects, revision, observedAt)
 	k.requestWrite()
 }
 
-func (k *quarantineKeeper) setStored(records []quarantine.Record, revision uint64) {
+// setStored records what the store's key held at the revision observedAt, unless a later state
+// of it is known. The response to a write may arrive after the news that the key was deleted
+// since.
+func (k *quarantineKeeper) setStored(records []quarantine.Record, revision, observedAt uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.stored, k.storedRevision = records, revision
+	if observedAt < k.observedAt {
+		return
+	}
+	k.stored, k.storedRevision, k.observedAt = records, revision, observedAt
 }
 
 func (k *quarantineKeeper) storedRecords() ([]quarantine.Record, uint64) {
@@ -251,6 +259,13 @@
 	return k.stored, k.storedRevision
 }
 
+// latestObservation returns the revision at which the store's key was last observed.
+func (k *quarantineKeeper) latestObservation() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.observedAt
+}
+
 // run writes to the store what it lacks, until ctx is cancelled.
 func (k *quarantineKeeper) run(ctx context.Context) {
 	for {
@@ -316,7 +331,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	k.setStored(records, revision)
+	k.setStored(records, revision, revision)
 	return nil
 }
 
@@ -326,6 +341,10 @@
 	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return errors.Trace(err)
 	}
-	k.applyStored(entry.Value, entry.Revision)
+	observedAt := entry.Revision
+	if err != nil {
+		observedAt = k.latestObservation()
+	}
+	k.applyStored(entry.Value, entry.Revision, observedAt)
 	return nil
 }
--- a/pkg/tokenrate/recent_test.go
+++ b/pkg/tokenrate/recent_test.go
@@ -30,7 +30,7 @@
 		})
 		Convey("a report of changes is deducted if it follows the previous report soon", func() {
 			l.ApplyReport(100*time.Millisecond, recentReport("p", "1", map[string]Usage{"a": {Admitted: 400}}), lookup)
-			So(l.Usage(100 * time.Millisecond), ShouldBeEmpty)
+			So(l.Usage(100*time.Millisecond), ShouldBeEmpty)
 			So(l.Admit(100*time.Millisecond, account, 701).Admitted, ShouldBeFalse)
 		})
 		// Changes between the two reports may be missing from the later one, so it
