--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -150,9 +150,13 @@
 	targetStates   map[fleet.Boot]*targetState
 	statsByService map[string]*serviceStats
 	prefixes       *lru.Cache[uint64, *prefixState]
-	// peerLoads holds the loads by peer, and peerTotals their sums over all peers.
-	peerLoads        map[string]map[TargetKey]TargetLoad
-	peerTotals       map[TargetKey]TargetLoad
+	// peerLoads holds the latest report of each peer.
+	peerLoads    map[string]peerReport
+	fleetTargets map[TargetKey]*fleetTarget
+	// lastReportAt is the time at which this process last reported its loads, and
+	// resumedAt the end of its latest pause.
+	lastReportAt     time.Duration
+	resumedAt        time.Duration
 	versionHistories map[string]*fleet.VersionHistory
 	// versionDeadline is the time after the announcement of newer weights at
 	// which no more requests may begin on older ones.
@@ -198,8 +202,8 @@
 		targetStates:     map[fleet.Boot]*targetState{},
 		statsByService:   map[string]*serviceStats{},
 		prefixes:         prefixes,
-		peerLoads:        map[string]map[TargetKey]TargetLoad{},
-		peerTotals:       map[TargetKey]TargetLoad{},
+		peerLoads:        map[string]peerReport{},
+		fleetTargets:     map[TargetKey]*fleetTarget{},
 		storeViews:       map[string]*storeView{},
 		heads:            newHeadShares(),
 		importDelays:     importDelays{byStore: map[string]*movingDelay{}},
@@ -341,9 +345,17 @@
 	for i := range targets {
 		listed[targets[i].Boot()] = true
 	}
+	known := map[*fleetTarget]bool{}
 	for boot, s := range b.targetStates {
 		if !listed[boot] && s.inFlight == 0 && s.pending == 0 {
 			delete(b.targetStates, boot)
+			continue
+		}
+		known[s.fleet] = true
+	}
+	for key, f := range b.fleetTargets {
+		if !known[f] && f.peers.InFlight == 0 {
+			delete(b.fleetTargets, key)
 		}
 	}
 }
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -257,10 +257,10 @@
 	})
 	Convey("The load of peers at a target is taken into account", t, func() {
 		b, targets := newBalancer("dc0"), engines(2)
-		b.SetPeerLoads("peer", map[TargetKey]TargetLoad{KeyOf("e0"): {InFlight: 5, Pending: 5, Backlog: 30_000}})
+		b.SetPeerLoads(time.Second, "peer", map[TargetKey]TargetLoad{KeyOf("e0"): {InFlight: 5, Pending: 5, Backlog: 30_000}})
 		choice, _ := b.Pick(time.Second, newRequest("p", 0, 100), targets)
 		So(choice.Target.ID, ShouldEqual, "e1")
-		b.SetPeerLoads("peer", nil)
+		b.RemovePeer(time.Second, "peer")
 		choice, _ = b.Pick(time.Second, newRequest("p", 0, 100), targets)
 		So(choice.Target.ID, ShouldEqual, "e0")
 	})
@@ -337,7 +337,7 @@
 		b := newBalancer("dc0")
 		boot := fleet.Boot{ID: "e0"}
 		report := func(peer string, load TargetLoad) {
-			b.SetPeerLoads(peer, map[TargetKey]TargetLoad{KeyOf("e0"): load})
+			b.SetPeerLoads(0, peer, map[TargetKey]TargetLoad{KeyOf("e0"): load})
 		}
 		report("p", TargetLoad{InFlight: 3, Pending: 1, Backlog: 100})
 		report("q", TargetLoad{InFlight: 2, Pending: 2, Backlog: 50})
@@ -345,8 +345,8 @@
 		_, peers := b.Load(boot)
 		So(peers, ShouldResemble, TargetLoad{InFlight: 3, Pending: 2, Backlog: 60})
 		So(b.GroupLoads(0, []string{"q"})[KeyOf("e0")], ShouldResemble, TargetLoad{InFlight: 2, Pending: 2, Backlog: 50})
-		b.SetPeerLoads("q", nil)
-		b.SetPeerLoads("p", nil)
+		b.RemovePeer(0, "q")
+		b.RemovePeer(0, "p")
 		_, peers = b.Load(boot)
 		So(peers, ShouldResemble, TargetLoad{})
 	})
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -26,9 +26,6 @@
 	// noTargetRetryDelay is the retry delay for callers while no target is
 	// available.
 	noTargetRetryDelay = time.Second
-	// progressTimeout is the time without progress after which a target with
-	// pending requests is treated as unhealthy.
-	progressTimeout = 700 * time.Millisecond
 )
 
 // candidate is a target that is able to serve the request.
@@ -63,7 +60,8 @@
 	if len(eligible) == 0 {
 		return nil, &Refusal{Reason: ReasonLoading, RetryAfter: loadingRetryDelay}
 	}
-	eligible = preferCandidates(eligible, func(c *candidate) bool { return c.state.healthy(now) })
+	rule := b.stallRule(now)
+	eligible = preferCandidates(eligible, func(c *candidate) bool { return !c.state.isAvoided(now) && !rule.isStalled(c.state) })
 	eligible = preferCandidates(eligible, func(c *candidate) bool { return now >= c.state.cordonedUntil })
 	history := b.versionHistory(req.Model)
 	eligible = preferCandidates(eligible, func(c *candidate) bool {
--- a/pkg/balance/limit_test.go
+++ b/pkg/balance/limit_test.go
@@ -49,7 +49,7 @@
 			queue := func(wait time.Duration) {
 				s := b.targetState(targets[0].Boot())
 				s.queuedTokens, s.pending = initialPrefillRate*float64(wait.Milliseconds()), 1
-				s.queuedTokensAt, s.lastProgressAt = old, old
+				s.queuedTokensAt, s.fleet.progressAt = old, old
 			}
 			queue(2 * time.Second)
 			id, refusal := pick(old)
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -85,7 +85,7 @@
 		work, recomputed = b.prefillWork(now, req, candidates, index, preferred, &choice, stored)
 		choice.Primary, choice.RecomputedTokens = index == preferred.primary, int64(recomputed)
 	}
-	peerLoad := b.peerLoad(c.target.ID)
+	peerLoad := c.state.fleet.peers
 	choice.PrefillTokens = work
 	queuedTokens := c.state.backlog(now, stats.prefillRate, peerLoad.Backlog) + peerLoad.Backlog
 	expected := baseTTFB + prefillTime(queuedTokens+work, stats)
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -50,9 +50,12 @@
 	// the time queuedTokensAt.
 	queuedTokens   float64
 	queuedTokensAt time.Duration
-	// lastProgressAt is the time of the latest sign of progress while the
-	// target had pending requests.
-	lastProgressAt time.Duration
+	// pendingRequests holds the pending requests, the oldest first.
+	pendingRequests []*TrackedRequest
+	// heardAt is the time at which this process last received bytes from the target;
+	// negative if it has received none.
+	heardAt time.Duration
+	fleet   *fleetTarget
 
 	load           call.Load
 	loadReportedAt time.Duration
@@ -100,7 +103,7 @@
 func (b *Balancer) targetState(boot fleet.Boot) *targetState {
 	s, ok := b.targetStates[boot]
 	if !ok {
-		s = &targetState{loadReportedAt: -1}
+		s = &targetState{loadReportedAt: -1, heardAt: -1, fleet: b.fleetTarget(KeyOf(boot.ID))}
 		b.targetStates[boot] = s
 	}
 	return s
@@ -138,11 +141,9 @@
 	return s.queuedTokens
 }
 
-func (s *targetState) healthy(now time.Duration) bool {
-	if now < s.avoidUntil || now < s.peersAvoidUntil {
-		return false
-	}
-	return s.pending == 0 || now-s.lastProgressAt < progressTimeout
+// isAvoided reports whether new requests avoid the target after failures.
+func (s *targetState) isAvoided(now time.Duration) bool {
+	return now < s.avoidUntil || now < s.peersAvoidUntil
 }
 
 // changing reports whether the target is about to change its weights or is
--- a/pkg/balance/tracked.go
+++ b/pkg/balance/tracked.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/fleet"
@@ -28,19 +29,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.targetState(choice.Target.Boot())
-	s.backlog(now, b.serviceStats(req.Service).prefillRate, b.peerLoad(choice.Target.ID).Backlog)
-	if s.pending == 0 {
-		s.lastProgressAt = now
-	}
+	s.backlog(now, b.serviceStats(req.Service).prefillRate, s.fleet.peers.Backlog)
 	t := &TrackedRequest{balancer: b, state: s, service: req.Service, startedAt: now, prefillTokens: choice.PrefillTokens}
 	t.expectedTTFB, t.isPrompt = choice.ExpectedTTFB, req.Model != ""
 	if choice.Import == ImportFromStore {
 		t.importStore = choice.ImportAddress
 	}
-	t.onlyPending = s.pending == 0 && b.peerLoad(choice.Target.ID).Pending == 0
+	t.onlyPending = s.pending == 0 && s.fleet.peers.Pending == 0
 	s.service = req.Service
 	s.inFlight++
 	s.pending++
+	s.pendingRequests = append(s.pendingRequests, t)
+	s.fleet.ownPending++
+	s.fleet.updateWaiting(now, false)
 	s.pendingTokens += choice.PrefillTokens
 	s.queuedTokens += choice.PrefillTokens
 	if len(req.SharedParts) > 0 {
@@ -74,28 +75,36 @@
 	prefix.holders = append(prefix.holders, prefixHolder{boot: boot, firstSentAt: now, lastSentAt: now})
 }
 
-// RecordFirstByte records the arrival of the first byte of the response.
+// RecordFirstByte records the arrival of the first byte of the response. Calls for
+// later bytes record the target's progress.
 func (t *TrackedRequest) RecordFirstByte(now time.Duration) {
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
+	t.state.recordProgress(now)
 	first := !t.firstByteSeen
 	if first && t.isPrompt {
 		t.balancer.importDelays.record(now, t.importStore, now-t.startedAt-t.expectedTTFB)
 	}
-	t.markFirstByte(now)
+	t.endPending(now, false)
 	if first && t.onlyPending && t.prefillTokens >= minPrefillSampleTokens {
 		elapsed := float64(now-t.startedAt-baseTTFB) / float64(time.Millisecond)
 		t.balancer.serviceStats(t.service).addPrefillSample(t.prefillTokens / max(1, elapsed))
 	}
 }
 
-func (t *TrackedRequest) markFirstByte(now time.Duration) {
+// endPending records that the request is no longer pending. isGivenUp is set if it has
+// ended without a first byte.
+func (t *TrackedRequest) endPending(now time.Duration, isGivenUp bool) {
 	if t.firstByteSeen {
 		return
 	}
 	t.firstByteSeen = true
-	t.state.lastProgressAt = now
 	t.state.pending--
+	if i := slices.Index(t.state.pendingRequests, t); i >= 0 {
+		t.state.pendingRequests = slices.Delete(t.state.pendingRequests, i, i+1)
+	}
+	t.state.fleet.ownPending--
+	t.state.fleet.updateWaiting(now, isGivenUp)
 	t.state.pendingTokens -= t.prefillTokens
 	t.state.queuedTokens = min(t.state.queuedTokens, t.state.pendingTokens)
 	if t.state.pending == 0 {
@@ -139,11 +148,11 @@
 	}
 	t.ended = true
 	firstByteSeen := t.firstByteSeen
-	lastProgressAt := t.state.lastProgressAt
+	isStalled := !firstByteSeen && t.balancer.stallRule(now).isStalled(t.state)
 	if late := now - t.startedAt - t.expectedTTFB; t.isPrompt && !firstByteSeen && result == Cancelled && late > 0 {
 		t.balancer.importDelays.record(now, t.importStore, late)
 	}
-	t.markFirstByte(now)
+	t.endPending(now, result == Cancelled || result == Failed)
 	t.state.inFlight--
 	if t.state.inFlight == 0 {
 		t.balancer.notifyDrained(now, t.state)
@@ -159,7 +168,7 @@
 	case Failed, Refused:
 		t.state.endedCount++
 		t.state.failedCount++
-		if result == Failed && !firstByteSeen && now-lastProgressAt >= progressTimeout {
+		if result == Failed && isStalled {
 			t.state.avoid(now, minStalledAvoidDuration)
 		}
 	case Unreachable:
@@ -169,7 +178,7 @@
 		t.state.unreachable, t.state.unreachableAt = true, now
 		t.state.avoid(now, maxAvoidDuration)
 	case Cancelled:
-		if !firstByteSeen && now-lastProgressAt >= progressTimeout {
+		if isStalled {
 			t.state.avoid(now, minStalledAvoidDuration)
 		}
 	}
--- a/pkg/entry/groups.go
+++ b/pkg/entry/groups.go
@@ -107,7 +107,7 @@
 		}
 		state.silent = true
 		t.entry.log.Log(eventlog.GroupSilent, "group", name, "hub", state.hub, "silent_ms", (now - state.receivedAt).Milliseconds())
-		t.entry.balancer.SetPeerLoads(groupPeerName(name), nil)
+		t.entry.balancer.RemovePeer(now, groupPeerName(name))
 	}
 }
 
@@ -119,7 +119,7 @@
 	for name := range t.byName {
 		if _, ok := topology.Ranked[name]; !ok || name == topology.Own {
 			delete(t.byName, name)
-			t.entry.balancer.SetPeerLoads(groupPeerName(name), nil)
+			t.entry.balancer.RemovePeer(t.entry.uptime(), groupPeerName(name))
 		}
 	}
 }
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -201,7 +201,7 @@
 
 func (m *memberList) remove(vm string) {
 	delete(m.byVM, vm)
-	m.entry.balancer.SetPeerLoads(vm, nil)
+	m.entry.balancer.RemovePeer(m.entry.uptime(), vm)
 }
 
 func (m *memberList) applyEntry(entry kv.Entry) {
@@ -311,7 +311,7 @@
 		}
 		p.silent = true
 		m.entry.log.Log(eventlog.PeerSilent, "peer", vm, "silent_ms", (now - p.lastMessageAt).Milliseconds())
-		m.entry.balancer.SetPeerLoads(vm, nil)
+		m.entry.balancer.RemovePeer(now, vm)
 		if p.unregistered {
 			m.remove(vm)
 			removed = true
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -103,7 +103,7 @@
 func (e *Entry) applyPeerState(now time.Duration, m *gossip.Message) {
 	e.members.recordMessage(m.Sender, m.BootID)
 	e.unreachable.record(now, m.Unreachable)
-	e.balancer.SetPeerLoads(m.Sender, m.TargetLoads)
+	e.balancer.SetPeerLoads(now, m.Sender, m.TargetLoads)
 	e.applyUsage(now, tokenrate.Report{Peer: m.Sender, Source: m.Sender, Boot: m.BootID, Processes: 1, Accounts: m.Usage})
 }
 
@@ -114,7 +114,7 @@
 	}
 	state := &group.State
 	e.applyNews(now, state.Sender, &state.News)
-	e.balancer.SetPeerLoads(groupPeerName(group.Name), state.TargetLoads)
+	e.balancer.SetPeerLoads(now, groupPeerName(group.Name), state.TargetLoads)
 	e.applyUsage(now, tokenrate.Report{
 		Peer: groupPeerName(group.Name), Source: state.Sender, Boot: state.BootID, Processes: group.Processes, Accounts: state.Usage,
 	})
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -142,6 +142,7 @@
 	for target, load := range m.TargetLoads {
 		state.Work = append(state.Work, &gossippb.Work{
 			Target: uint32(target), Running: uint32(load.InFlight), Unstarted: uint32(load.Pending), Backlog: uint32(load.Backlog),
+			Progress: encodeAge(load.ProgressAge),
 		})
 	}
 	for _, a := range m.AnnouncedVersions {
@@ -166,6 +167,14 @@
 	return state
 }
 
+// ageUnit is the unit of the ages in a target's load. Ages up to 1.27 s take one byte.
+const ageUnit = 10 * time.Millisecond
+
+// encodeAge returns an age in units of ageUnit, rounded up, so that only an absent age is 0.
+func encodeAge(age time.Duration) uint32 {
+	return uint32((age + ageUnit - 1) / ageUnit)
+}
+
 func encodeBoots(boots []fleet.Boot) []*gossippb.TargetRun {
 	var runs []*gossippb.TargetRun
 	for _, boot := range boots {
@@ -284,6 +293,7 @@
 	for _, w := range state.GetWork() {
 		m.TargetLoads[balance.TargetKey(w.GetTarget())] = balance.TargetLoad{
 			InFlight: int(w.GetRunning()), Pending: int(w.GetUnstarted()), Backlog: float64(w.GetBacklog()),
+			ProgressAge: time.Duration(w.GetProgress()) * ageUnit,
 		}
 	}
 	for _, n := range state.GetNamed() {
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -49,6 +49,9 @@
 		a.err = errors.Errorf("response has another request's ID %q", a.responseMeta.RequestID)
 		return failed
 	}
+	if !a.responseMeta.InstanceMismatch {
+		a.tracked.RecordProgress(a.answeredAt)
+	}
 	relay.Quarantine.Answered(target.Boot(), a.startedAt)
 	if a.responseMeta.HasLoad {
 		relay.Balancer.RecordLoad(relay.Now(), target.Boot(), a.responseMeta.Load)
