--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -203,7 +203,7 @@
 
 func (m *memberList) remove(vm string) {
 	delete(m.byVM, vm)
-	m.entry.balancer.SetPeerLoads(vm, nil)
+	m.entry.balancer.RemovePeer(m.entry.uptime(), vm)
 }
 
 // applyEntry applies an entry as observed at a revision, which is that of its write or later.
@@ -319,7 +319,7 @@
 		}
 		p.silent = true
 		m.entry.log.Log(eventlog.PeerSilent, "peer", vm, "silent_ms", (now - p.lastMessageAt).Milliseconds())
-		m.entry.balancer.SetPeerLoads(vm, nil)
+		m.entry.balancer.RemovePeer(now, vm)
 		if p.unregistered {
 			m.remove(vm)
 			removed = true
