Decisions of canary rollouts: budget, judge, phases

Cause: an order to move a service to another software version needs a decision that no process can exceed on its own. Change: pkg/canary holds the exposure budget of one process, the sequential test of the evidence, the phases and the leader's decision.

--- /dev/null
+++ b/pkg/canary/rollout.go
@@ -0,0 +1,275 @@
+package canary
+
+import (
+	"maps"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// reportTTL is the time for which a peer's report says what the peer does now.
+	reportTTL = time.Second
+	// rollbackContactDivisor determines the time without news from any peer after which a process
+	// sends nothing to the new version: the time to roll back divided by it. The peers
+	// may have found the version faulty.
+	rollbackContactDivisor = 4
+)
+
+// Use says which versions of a service may get a request.
+type Use int
+
+const (
+	// AnyVersion: no rollout concerns the request.
+	AnyVersion Use = iota
+	// OldVersions: all versions but the new one.
+	OldVersions
+	// NewVersionFirst: the new version, or another one if no target of it can be used.
+	NewVersionFirst
+	// OldVersionsFirst: all versions but the new one, or the new one if no other has a target.
+	OldVersionsFirst
+)
+
+// Turn is what a rollout decided for an attempt.
+type Turn struct {
+	Use Use
+	// reserved is set if the attempt has a place in the budget.
+	reserved bool
+}
+
+// Result is what the end of an attempt shows of its target.
+type Result int
+
+const (
+	// NotSent: the target didn't get the request.
+	NotSent Result = iota
+	// NoEvidence: the target got the request, but its end is not to be held against it or in its favour.
+	NoEvidence
+	// Refused: the target didn't run the request.
+	Refused
+	// Served: the target answered.
+	Served
+	// Failed: the target is to blame for a missing, broken or invalid answer.
+	Failed
+)
+
+// Outcome is the end of an attempt.
+type Outcome struct {
+	Route  string
+	IsNew  bool
+	SentAt time.Duration
+	Result Result
+	// IsTimed is set if the time could be compared with the old version's, and IsSlow if it was
+	// longer than most of those.
+	IsTimed, IsSlow bool
+}
+
+// Rollout is one process's state of an order. It is not safe for concurrent use.
+type Rollout struct {
+	order  Order
+	bounds Bounds
+	random *rand.Rand
+	// firstSeen is the time at which any process first knew the order.
+	firstSeen time.Duration
+	state     State
+	reason    string
+	// lastNews is the time of the latest message from a peer about the order.
+	lastNews time.Duration
+	budget   budget
+	own      Evidence
+	reports  reports
+}
+
+// New returns the state of an order that this process learned of after the given age.
+func New(now, age time.Duration, order Order, bounds Bounds, random *rand.Rand) *Rollout {
+	return &Rollout{
+		order: order, bounds: bounds, random: random, firstSeen: now - age, lastNews: now,
+		budget: budget{share: bounds.Share, rounding: random.Float64()},
+		own:    Evidence{}, reports: newReports(),
+	}
+}
+
+// Order returns the order.
+func (r *Rollout) Order() Order { return r.order }
+
+// State returns the state and the reason for it.
+func (r *Rollout) State() (state State, reason string) { return r.state, r.reason }
+
+// Age returns the time since a process first knew the order.
+func (r *Rollout) Age(now time.Duration) time.Duration { return now - r.firstSeen }
+
+// Counts returns the requests that this process sent since it learned of the order, and those of them that
+// went to the new version.
+func (r *Rollout) Counts() (all, exposed int64) { return r.budget.all, r.budget.exposed }
+
+// Renumber records that the order has another revision, after a restore of the store.
+func (r *Rollout) Renumber(revision uint64) { r.order.Revision = max(r.order.Revision, revision) }
+
+// Next decides where an attempt goes. isAlone is set if there is no other process. If a reserved
+// turn isn't used, it has to be returned.
+func (r *Rollout) Next(now time.Duration, isRetry, isAlone bool) Turn {
+	switch {
+	case r.state == Complete:
+		return Turn{Use: NewVersionFirst}
+	case r.state == Reverted:
+		return Turn{Use: OldVersions}
+	case !isAlone && now-r.lastNews > r.bounds.Rollback/rollbackContactDivisor:
+		return Turn{Use: r.withoutNews(now)}
+	case r.state == Switching:
+		return Turn{Use: NewVersionFirst}
+	case r.state == Running && !isRetry && r.wantsNew(now):
+		r.budget.reserved++
+		return Turn{Use: NewVersionFirst, reserved: true}
+	default:
+		return Turn{Use: r.withoutNews(now)}
+	}
+}
+
+// withoutNews returns what a process does that must not use the new version by choice. After the
+// order's end the old version may have stopped.
+func (r *Rollout) withoutNews(now time.Duration) Use {
+	if r.order.phaseAt(r.Age(now)) == ended {
+		return OldVersionsFirst
+	}
+	return OldVersions
+}
+
+// wantsNew reports whether the next request goes to the new version before the switch.
+func (r *Rollout) wantsNew(now time.Duration) bool {
+	switch r.order.phaseAt(r.Age(now)) {
+	case observing:
+		return r.budget.allows() && r.random.Float64() < observationFraction*r.bounds.Share
+	case loadTesting:
+		return r.budget.allows()
+	default:
+		return false
+	}
+}
+
+// Return returns a turn for which no attempt at the new version began.
+func (r *Rollout) Return(turn Turn) {
+	if turn.reserved {
+		r.budget.reserved--
+	}
+}
+
+// Begin records that an attempt begins. A reserved turn must belong to an attempt at the new
+// version.
+func (r *Rollout) Begin(turn Turn, isNew bool) {
+	r.Return(turn)
+	if isNew {
+		r.budget.exposed++
+	}
+}
+
+// End records the end of an attempt that has begun under this order.
+func (r *Rollout) End(outcome Outcome) {
+	switch {
+	case outcome.Result == NotSent && outcome.IsNew:
+		r.budget.exposed--
+	case outcome.Result == NoEvidence, outcome.Result == Served, outcome.Result == Failed:
+		r.budget.all++
+	}
+	if outcome.Result != Served && outcome.Result != Failed {
+		return
+	}
+	key := Key{Route: outcome.Route, New: outcome.IsNew, Slice: r.order.sliceAt(outcome.SentAt - r.firstSeen)}
+	counts := r.own[key]
+	counts.Runs++
+	if outcome.Result == Failed {
+		counts.Failures++
+	}
+	if outcome.IsTimed {
+		counts.Timed++
+	}
+	if outcome.IsSlow {
+		counts.Slow++
+	}
+	r.own[key] = counts
+}
+
+// News is what a process tells the others of a rollout.
+type News struct {
+	Order Order
+	Age   time.Duration
+	State State
+	// Reason says why the rollout was reverted.
+	Reason string
+	// Report is only part of messages that hold a process's whole state.
+	Report Report
+}
+
+// News returns what this process knows of the order, without any counts.
+func (r *Rollout) News(now time.Duration) News {
+	return News{Order: r.order, Age: r.Age(now), State: r.state, Reason: r.reason}
+}
+
+// OwnReport returns this process's counts. oldInFlight is the number of its requests in flight at
+// other versions.
+func (r *Rollout) OwnReport(oldInFlight int) Report {
+	report := Report{Evidence: maps.Clone(r.own)}
+	if r.state == Switching && oldInFlight == 0 {
+		report.Drained = 1
+	}
+	return report
+}
+
+// GroupReport returns the sum of the counts of this process and of the senders that belong to its group.
+func (r *Rollout) GroupReport(now time.Duration, oldInFlight int, inGroup func(sender string) bool) Report {
+	report := r.OwnReport(oldInFlight)
+	r.reports.addTo(report.Evidence, inGroup)
+	report.Drained += r.reports.drained(now, inGroup)
+	return report
+}
+
+// Learn applies a peer's news of the same order, and reports whether the state has changed.
+func (r *Rollout) Learn(now time.Duration, news *News) bool {
+	r.lastNews = now
+	r.firstSeen = min(r.firstSeen, now-news.Age)
+	r.Renumber(news.Order.Revision)
+	return r.Raise(news.State, news.Reason)
+}
+
+// RecordReport records the counts of a sender.
+func (r *Rollout) RecordReport(now time.Duration, sender, boot string, report *Report) {
+	r.reports.record(now, sender, boot, report)
+}
+
+// Raise sets the state, unless the present one takes precedence, and reports whether it has changed.
+func (r *Rollout) Raise(state State, reason string) bool {
+	if state <= r.state || state > Complete {
+		return false
+	}
+	r.state, r.reason = state, reason
+	return true
+}
+
+// Evidence returns the sum of all counts that this process knows.
+func (r *Rollout) Evidence() Evidence {
+	sum := maps.Clone(r.own)
+	r.reports.addTo(sum, func(string) bool { return true })
+	return sum
+}
+
+// Judge applies the evidence to the state. It returns what the evidence shows, and whether the state
+// has changed. Any process may find the version faulty; only the leader applies the final tests and
+// begins the switch.
+func (r *Rollout) Judge(now time.Duration, isLeader bool) (finding Finding, changed bool) {
+	age := r.Age(now)
+	isFinal := isLeader && (r.state == Switching || age >= r.order.lateSwitch())
+	finding = Judge(r.Evidence(), isFinal)
+	switch {
+	case r.state != Running && r.state != Switching:
+		return finding, false
+	case finding.IsFaulty:
+		return finding, r.Raise(Reverted, finding.Reason)
+	case !isLeader || r.state == Switching:
+		return finding, false
+	case age >= r.order.completeBy():
+		return finding, r.Raise(Reverted, ReasonOutOfTime)
+	case finding.IsSound && age >= r.order.earlySwitch():
+		return finding, r.Raise(Switching, ReasonShownSound)
+	case isFinal:
+		return finding, r.Raise(Switching, ReasonNothingFound)
+	}
+	return finding, false
+}
--- /dev/null
+++ b/pkg/canary/simulation_test.go
@@ -0,0 +1,244 @@
+package canary
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// playSettings describes a service and the version that its operator orders.
+type playSettings struct {
+	processes int
+	perSecond float64
+	duration  time.Duration
+	// baseline is the share of requests that fail at all engines, and routeBaseline that on the
+	// first of the four routes.
+	baseline, routeBaseline float64
+	// fault is the share of requests that fail at the new version in addition, and slowdown the factor by which its
+	// answers are slower; 0 means none. Both begin at onset, a fraction of the duration.
+	fault, slowdown float64
+	onset           float64
+	// oneRoute restricts them to one route of four.
+	oneRoute bool
+	// spread is the standard deviation of the logarithm of the times.
+	spread float64
+}
+
+func (s *playSettings) isBad() bool { return s.fault > 0 || s.slowdown > 1 }
+
+// playResult is what happened until the end of the order.
+type playResult struct {
+	state        State
+	reason       string
+	all, exposed int
+	// sentAfter is the number of requests that the new version got later than boundRollback after
+	// its boundBadAnswers-th bad answer.
+	sentAfter int
+	switched  time.Duration
+}
+
+// pendingRun is a request in flight.
+type pendingRun struct {
+	endsAt  time.Duration
+	process int
+	outcome Outcome
+	ratio   float64
+}
+
+type pendingRuns []pendingRun
+
+func (p pendingRuns) Len() int           { return len(p) }
+func (p pendingRuns) Less(i, j int) bool { return p[i].endsAt < p[j].endsAt }
+func (p pendingRuns) Swap(i, j int)      { p[i], p[j] = p[j], p[i] }
+func (p *pendingRuns) Push(x any)        { *p = append(*p, x.(pendingRun)) }
+func (p *pendingRuns) Pop() any {
+	last := (*p)[len(*p)-1]
+	*p = (*p)[:len(*p)-1]
+	return last
+}
+
+// gossipInterval is the interval of the processes' messages in a play.
+const gossipInterval = 100 * time.Millisecond
+
+// play is one rollout in virtual time. Process 0 is the leader.
+type play struct {
+	playSettings
+	random    *rand.Rand
+	rollouts  []*Rollout
+	timings   [][]Timing
+	pending   pendingRuns
+	badAt     time.Duration
+	badCount  int
+	result    playResult
+	oldFlight []int
+}
+
+const playRoutes = 4
+
+func newPlay(s playSettings, seed uint64) *play {
+	p := &play{playSettings: s, random: rand.New(rand.NewPCG(seed, 1)), oldFlight: make([]int, s.processes)}
+	order := Order{Service: "s", Target: "v2", Duration: s.duration, Revision: 1}
+	for range s.processes {
+		r := New(0, 0, order, Bounds{Share: boundShare, Rollback: boundRollback}, p.random)
+		r.Raise(Running, "")
+		p.rollouts = append(p.rollouts, r)
+		p.timings = append(p.timings, make([]Timing, playRoutes))
+	}
+	return p
+}
+
+func (p *play) run() playResult {
+	const warmUp = 5 * time.Second
+	next := -warmUp
+	for gossip := time.Duration(0); gossip <= p.duration; gossip += gossipInterval {
+		for next < gossip {
+			p.finishUntil(next)
+			p.send(next)
+			next += time.Duration(p.random.ExpFloat64() / p.perSecond * float64(time.Second))
+		}
+		p.finishUntil(gossip)
+		p.exchange(gossip)
+	}
+	p.result.state, p.result.reason = p.rollouts[0].State()
+	return p.result
+}
+
+func (p *play) send(now time.Duration) {
+	process, route := p.random.IntN(p.processes), p.random.IntN(playRoutes)
+	isNew := false
+	if now >= 0 {
+		turn := p.rollouts[process].Next(now, false, false)
+		isNew = turn.Use == NewVersionFirst
+		p.rollouts[process].Begin(turn, isNew)
+		p.result.all++
+	}
+	if isNew {
+		p.result.exposed++
+		if p.badCount >= boundBadAnswers && now > p.badAt+boundRollback {
+			p.result.sentAfter++
+		}
+	} else {
+		p.oldFlight[process]++
+	}
+	p.begin(now, process, route, isNew)
+}
+
+func (p *play) begin(now time.Duration, process, route int, isNew bool) {
+	base := p.baseline
+	if route == 0 {
+		base = max(base, p.routeBaseline)
+	}
+	ratio := math.Exp(p.spread * p.random.NormFloat64())
+	isBad := p.random.Float64() < base
+	if isNew && now >= time.Duration(p.onset*float64(p.duration)) && (!p.oneRoute || route == 1) {
+		isBad = isBad || p.random.Float64() < p.fault
+		ratio *= max(1, p.slowdown)
+	}
+	run := pendingRun{endsAt: now + time.Duration(ratio*0.2*float64(time.Second)), process: process, ratio: ratio}
+	run.outcome = Outcome{Route: fmt.Sprint("route-", route), IsNew: isNew, SentAt: now, Result: Served}
+	if isBad {
+		run.outcome.Result = Failed
+	}
+	heap.Push(&p.pending, run)
+}
+
+func (p *play) finishUntil(now time.Duration) {
+	for len(p.pending) > 0 && p.pending[0].endsAt <= now {
+		run := heap.Pop(&p.pending).(pendingRun)
+		p.finish(&run)
+	}
+}
+
+func (p *play) finish(run *pendingRun) {
+	route := int(run.outcome.Route[len(run.outcome.Route)-1] - '0')
+	timing := &p.timings[run.process][route]
+	if run.outcome.Result == Served {
+		run.outcome.IsSlow, run.outcome.IsTimed = timing.IsSlow(run.ratio, p.random.Float64())
+	}
+	if !run.outcome.IsNew {
+		p.oldFlight[run.process]--
+		timing.Record(run.ratio)
+	}
+	if run.outcome.SentAt < 0 {
+		return
+	}
+	if run.outcome.IsNew && run.outcome.Result == Failed {
+		p.badCount++
+		if p.badCount == boundBadAnswers {
+			p.badAt = run.endsAt
+		}
+	}
+	p.rollouts[run.process].End(run.outcome)
+}
+
+// exchange passes all reports to the leader, and its state to the others.
+func (p *play) exchange(now time.Duration) {
+	leader := p.rollouts[0]
+	for i, r := range p.rollouts[1:] {
+		report := r.OwnReport(p.oldFlight[i+1])
+		leader.RecordReport(now, fmt.Sprint(i), "boot", &report)
+	}
+	leader.Judge(now, true)
+	if state, ok := leader.Due(now, &Record{State: Running, Target: "v2", Revision: 2}, p.oldFlight[0], p.processes); ok {
+		leader.Raise(state, "")
+	}
+	if state, _ := leader.State(); state == Switching && p.result.switched == 0 {
+		p.result.switched = now
+	}
+	news := leader.News(now)
+	leader.Learn(now, &news)
+	for _, r := range p.rollouts[1:] {
+		r.Learn(now, &news)
+	}
+}
+
+func TestRates(t *testing.T) {
+	base := playSettings{processes: 24, perSecond: 350, duration: 12 * time.Second, spread: 0.5}
+	for _, rate := range []float64{150, 350, 550} {
+		for name, change := range map[string]func(*playSettings){
+			"good":              func(*playSettings) {},
+			"good 10%":          func(s *playSettings) { s.baseline = 0.1 },
+			"good 14% route":    func(s *playSettings) { s.routeBaseline = 0.14 },
+			"5%":                func(s *playSettings) { s.fault = 0.05 },
+			"10%":               func(s *playSettings) { s.fault = 0.1 },
+			"5% at .5":          func(s *playSettings) { s.fault, s.onset = 0.05, 0.5 },
+			"30% at .5":         func(s *playSettings) { s.fault, s.onset = 0.3, 0.5 },
+			"30% at .85":        func(s *playSettings) { s.fault, s.onset = 0.3, 0.85 },
+			"5% over 10%":       func(s *playSettings) { s.fault, s.baseline = 0.05, 0.1 },
+			"20% over 10%":      func(s *playSettings) { s.fault, s.baseline = 0.2, 0.1 },
+			"5% on one":         func(s *playSettings) { s.fault, s.oneRoute = 0.05, true },
+			"20% on one":        func(s *playSettings) { s.fault, s.oneRoute = 0.2, true },
+			"100% on one":       func(s *playSettings) { s.fault, s.oneRoute = 1, true },
+			"1.5x":              func(s *playSettings) { s.slowdown = 1.5 },
+			"2x":                func(s *playSettings) { s.slowdown = 2 },
+			"2x on one":         func(s *playSettings) { s.slowdown, s.oneRoute = 2, true },
+			"1.5x at .6":        func(s *playSettings) { s.slowdown, s.onset = 1.5, 0.6 },
+		} {
+			s := base
+			s.perSecond = rate
+			change(&s)
+			reverted, late, over, switched, exposed, reasons := 0, 0, 0, 0.0, 0.0, map[string]int{}
+			const plays = 100
+			for seed := range plays {
+				p := newPlay(s, uint64(seed))
+				r := p.run()
+				if r.state == Reverted {
+					reverted++
+				}
+				reasons[fmt.Sprint(r.state, r.reason)]++
+				if r.sentAfter > 0 {
+					late++
+				}
+				if float64(r.exposed) > boundShare*float64(r.all)+boundSlack {
+					over++
+				}
+				switched += float64(r.switched) / float64(s.duration) / plays
+				exposed += float64(r.exposed) / float64(r.all) / plays
+			}
+			t.Logf("%4.0f/s %-15s reverted %3d late %d over %d switched %.3f exposed %.3f %v", rate, name, reverted, late, over, switched, exposed, reasons)
+		}
+	}
+}
