Canary rollouts: connection to the entry process

Cause: orders under op/rollout/ were ignored. Change: an entry process with the contract follows them, chooses targets by version, exchanges evidence and states by gossip, and the leader writes status/rollout/.

--- a/pkg/canary/evidence.go
+++ b/pkg/canary/evidence.go
@@ -7,6 +7,9 @@
 // new version alike.
 const numSlices = 5
 
+// maxKeys bounds the counters of a sender: 100 routes.
+const maxKeys = 100 * 2 * numSlices
+
 // Key identifies a counter of evidence.
 type Key struct {
 	Route string
@@ -40,10 +43,14 @@
 	}
 }
 
-// raise replaces each counter by that of other if that is higher.
+// raise replaces each counter by that of other if that is higher. Keys that no sender has are
+// ignored, and so are those above maxKeys.
 func (e Evidence) raise(other Evidence) {
 	for key, c := range other {
-		highest := e[key]
+		highest, ok := e[key]
+		if key.Slice < 0 || key.Slice >= numSlices || (!ok && len(e) >= maxKeys) {
+			continue
+		}
 		highest.Runs = max(highest.Runs, c.Runs)
 		highest.Failures = max(highest.Failures, c.Failures)
 		highest.Timed = max(highest.Timed, c.Timed)
--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -58,6 +58,8 @@
 	IsNew  bool
 	SentAt time.Duration
 	Result Result
+	// IsAnswered is set if the target has begun to answer.
+	IsAnswered bool
 	// IsTimed is set if the time could be compared with the old version's, and IsSlow if it was
 	// longer than most of those.
 	IsTimed, IsSlow bool
@@ -77,6 +79,7 @@
 	budget   budget
 	own      Evidence
 	reports  reports
+	crashes  crashes
 }
 
 // New returns the state of an order that this process learned of after the given age.
@@ -166,7 +169,7 @@
 	switch {
 	case outcome.Result == NotSent && outcome.IsNew:
 		r.budget.exposed--
-	case outcome.Result == NoEvidence, outcome.Result == Served, outcome.Result == Failed:
+	case outcome.IsAnswered && outcome.Result != Refused:
 		r.budget.all++
 	}
 	if outcome.Result != Served && outcome.Result != Failed {
@@ -187,6 +190,9 @@
 	r.own[key] = counts
 }
 
+// RecordCrash records that a target of the service has crashed.
+func (r *Rollout) RecordCrash(now time.Duration, isNew bool) { r.crashes.record(now, isNew) }
+
 // News is what a process tells the others of a rollout.
 type News struct {
 	Order Order
@@ -257,6 +263,9 @@
 	age := r.Age(now)
 	isFinal := isLeader && (r.state == Switching || age >= r.order.lateSwitch())
 	finding = Judge(r.Evidence(), isFinal)
+	if !finding.IsFaulty && r.crashes.isFaulty() {
+		finding.IsFaulty, finding.IsSound, finding.Reason = true, false, ReasonCrashes
+	}
 	switch {
 	case r.state != Running && r.state != Switching:
 		return finding, false
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/call"
+	"github.com/baobabhub/baobabhub/pkg/canary"
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
@@ -46,6 +47,11 @@
 	DecodeTarget func(id string, data []byte) (fleet.Target, error)
 	// DecodeWeightsVersion decodes a model's announced weights version.
 	DecodeWeightsVersion func(data []byte) (model string, version int64, err error)
+	// DecodeRollout decodes an order to move a service to another software version.
+	// EncodeRolloutStatus and DecodeRolloutStatus convert the record of its result.
+	DecodeRollout       func(data []byte) (canary.Order, error)
+	EncodeRolloutStatus func(record canary.Record) ([]byte, error)
+	DecodeRolloutStatus func(data []byte) (canary.Record, error)
 }
 
 // EngineControl sends load orders to engines and reads the state of engines and
@@ -79,6 +85,10 @@
 	// prefix of the models' announced weights versions.
 	ConfigKey             string
 	WeightsVersionsPrefix string
+	// RolloutsPrefix is the prefix of the orders to move services to other software versions,
+	// and RolloutStatusPrefix that of the results, which the leader writes.
+	RolloutsPrefix      string
+	RolloutStatusPrefix string
 	// TargetsPrefix is the prefix of the target entries.
 	TargetsPrefix string
 	// SystemPrefix is the prefix of the keys that the entry processes write.
@@ -137,6 +147,9 @@
 	streamOrigins *streamOrigins
 	// software holds the software versions that may begin streams.
 	software *softwareKeeper
+	// canary carries out the orders to move services to other software versions; nil if that is
+	// switched off.
+	canary *canaryKeeper
 	// unreadableTargets holds the revisions of the targets' entries that name no target to use,
 	// by ID. Only followTargets uses it.
 	unreadableTargets map[string]uint64
@@ -190,6 +203,11 @@
 	e.quarantine = newQuarantineKeeper(e)
 	e.streamOrigins = newStreamOrigins(e)
 	e.software = newSoftwareKeeper(e)
+	var versionRollouts relay.VersionRollouts
+	if settings.VersionRollouts {
+		e.canary = newCanaryKeeper(e)
+		versionRollouts = e.canary
+	}
 	var err error
 	e.gossip, err = gossip.New(gossip.Config{
 		Address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort)),
@@ -215,13 +233,13 @@
 		OnEnded:       e.ended.observe,
 		OnLimit:       e.recordLimit,
 		Quarantine:    e.quarantine,
-		StreamOrigins: e.streamOrigins,
-		RunQuery:      platform.RunQuery,
-		Stopping:      e.stopping.Load,
-		Refusing:      e.refusing.Load,
-		DrainExpired:  e.drainExpired,
-		Processes:     e.members.processCount,
-		Retries:       relay.NewRetryBudgets(settings.RetryRatio, settings.RetryBurst),
+		StreamOrigins: e.streamOrigins, VersionRollouts: versionRollouts,
+		RunQuery:     platform.RunQuery,
+		Stopping:     e.stopping.Load,
+		Refusing:     e.refusing.Load,
+		DrainExpired: e.drainExpired,
+		Processes:    e.members.processCount,
+		Retries:      relay.NewRetryBudgets(settings.RetryRatio, settings.RetryBurst),
 	})
 	return e, nil
 }
@@ -232,6 +250,7 @@
 		return false
 	}
 	e.quarantine.unframed.drop(run)
+	e.canary.recordEnded(now, run)
 	return true
 }
 
@@ -313,6 +332,8 @@
 		e.streamOrigins.answerRecordQuestions,
 		e.rollouts.run,
 		e.runHousekeeping,
+		e.canary.runJudge,
+		e.canary.runRecords,
 	}
 }
 
@@ -328,6 +349,7 @@
 		e.software.observeTargets()
 		e.members.markSilentPeers()
 		e.quarantine.expire()
+		e.canary.prune(targets)
 		if dropped := e.ring.Dropped(); dropped > 0 {
 			e.log.Log(eventlog.LinesDropped, "lines", dropped)
 		}
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -79,6 +79,8 @@
 		e.applyConfig(entry.Value)
 	case strings.HasPrefix(entry.Key, e.platform.Keys.WeightsVersionsPrefix):
 		e.applyWeightsVersion(entry.Value)
+	case strings.HasPrefix(entry.Key, e.platform.Keys.RolloutsPrefix):
+		e.canary.applyOrder(&entry)
 	}
 }
 
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -11,7 +11,7 @@
 
 // news returns what every process should know, without the engines' updates.
 func (e *Entry) news(now time.Duration) gossip.News {
-	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), Ended: e.ended.recent(now), Suspects: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now)}
+	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), Ended: e.ended.recent(now), Suspects: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now), Rollouts: e.canary.news(now)}
 	e.balancer.AnnouncementAges(now, func(model string, version int64, age time.Duration) {
 		news.AnnouncedVersions = append(news.AnnouncedVersions, gossip.AnnouncedVersion{Model: model, Version: version, Age: age})
 	})
@@ -40,6 +40,7 @@
 		Groups:      e.members.groups.direct(now),
 	}
 	m.Unreachable = e.balancer.Unreachable(now)
+	e.canary.addReports(now, m.Rollouts, false)
 	e.addLeaderNews(&m.News, func() []gossip.EngineStatus { return e.rollouts.statuses.list(now) })
 	return m
 }
@@ -55,6 +56,7 @@
 	}
 	e.unreachable.record(now, e.balancer.Unreachable(now))
 	state.Unreachable = e.unreachable.recent(now)
+	e.canary.addReports(now, state.Rollouts, true)
 	e.addLeaderNews(&state.News, func() []gossip.EngineStatus { return e.rollouts.statuses.list(now) })
 	if token, remaining := e.rollouts.statuses.claim(now); state.LeaderRemaining == 0 && remaining > 0 {
 		state.FencingToken, state.LeaderRemaining, state.Engines = token, remaining, e.rollouts.statuses.list(now)
@@ -104,6 +106,7 @@
 	e.members.recordMessage(m.Sender, m.BootID)
 	e.unreachable.record(now, m.Unreachable)
 	e.balancer.SetPeerLoads(m.Sender, m.TargetLoads)
+	e.canary.recordReports(now, m.Sender, m.BootID, m.Rollouts)
 	e.applyUsage(now, tokenrate.Report{Peer: m.Sender, Source: m.Sender, Boot: m.BootID, Processes: 1, Accounts: m.Usage})
 }
 
@@ -115,6 +118,7 @@
 	state := &group.State
 	e.applyNews(now, state.Sender, &state.News)
 	e.balancer.SetPeerLoads(groupPeerName(group.Name), state.TargetLoads)
+	e.canary.recordReports(now, groupPeerName(group.Name), "", state.Rollouts)
 	e.applyUsage(now, tokenrate.Report{
 		Peer: groupPeerName(group.Name), Source: state.Sender, Boot: state.BootID, Processes: group.Processes, Accounts: state.Usage,
 	})
@@ -138,6 +142,7 @@
 	e.balancer.AvoidUnreachable(now, news.Unreachable)
 	e.quarantine.merge(news.Suspects, sender)
 	e.mergeLimits(now, news.Limits, sender)
+	e.canary.learn(now, sender, news.Rollouts)
 	for _, boot := range news.Leaving {
 		e.leaving.learn(now, boot, sender)
 	}
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -92,6 +92,14 @@
 		[]string{"target", "born", "source"}}
 	ConnNotReset = Event{957, "conn_not_reset", "The connection of an incomplete response that ends with its connection could not be set up to be reset, so that its caller may take the response for complete.",
 		[]string{"request_id", "err"}}
+	RolloutOrdered = Event{958, "rollout_ordered", "The operators ordered to move a service to another software version. The source is store or a peer.",
+		[]string{"service", "target", "duration_ms", "age_ms", "revision", "source"}}
+	RolloutChanged = Event{959, "rollout_changed", "The state of a rollout of another software version has changed in this process. The source is self, store or a peer, and reason is why. The counts are those of all processes, as far as this one knows them; likelihood is the logarithm to base 10 of the likelihood ratio in favour of a fault.",
+		[]string{"service", "target", "state", "reason", "source", "age_ms", "new_runs", "new_failures", "new_timed", "new_slow", "old_runs", "old_failures", "old_timed", "old_slow", "likelihood"}}
+	RolloutProgress = Event{960, "rollout_progress", "Once a second: the evidence of a rollout, as in rollout_changed, and the requests of the service that this process has sent and that went to the new version.",
+		[]string{"service", "target", "state", "age_ms", "sent", "sent_new", "new_runs", "new_failures", "new_timed", "new_slow", "old_runs", "old_failures", "old_timed", "old_slow", "likelihood"}}
+	RolloutRecorded = Event{961, "rollout_recorded", "The leader wrote the state of a rollout to the store.",
+		[]string{"service", "target", "state", "fence", "revision"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -104,4 +112,5 @@
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
 	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed, TrialTaken,
 	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
+	RolloutOrdered, RolloutChanged, RolloutProgress, RolloutRecorded,
 }
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/baobabhub/baobabhub/pkg/balance"
+	"github.com/baobabhub/baobabhub/pkg/canary"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip/gossippb"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
@@ -78,6 +79,9 @@
 	Suspects []quarantine.Record
 	// Limits holds the newest observations of the limits that targets name.
 	Limits []targetlimit.Observation
+	// Rollouts holds what the process knows of the orders to move services to other software
+	// versions.
+	Rollouts []canary.News
 	// FencingToken is the fencing token of the leader, which sends load orders to
 	// engines, and LeaderRemaining the time for which its lease is certain to be
 	// valid. Both are 0 if the sender does not pass on the leader's state. Engines
@@ -134,6 +138,7 @@
 	state.Unreachable = encodeBoots(m.Unreachable)
 	state.Suspects = encodeSuspects(m.Suspects)
 	state.Limits = encodeLimits(m.Limits)
+	state.Rollouts = encodeRollouts(m.Rollouts)
 	for account, usage := range m.Usage {
 		state.Usage = append(state.Usage, &gossippb.Usage{
 			Account: account, Admitted: int64(math.Round(usage.Admitted)), Level: int64(math.Round(usage.Level)),
@@ -272,6 +277,7 @@
 	m.Unreachable = decodeBoots(state.GetUnreachable())
 	m.Suspects = decodeSuspects(state.GetSuspects())
 	m.Limits = decodeLimits(state.GetLimits())
+	m.Rollouts = decodeRollouts(state.GetRollouts())
 	for _, o := range state.GetStreamOrigins() {
 		m.StreamOrigins = append(m.StreamOrigins, StreamOrigin{Key: streamorigin.Key(o.GetKey()), Known: o.GetKnown(), SoftwareVersion: o.GetSoftwareVersion()})
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -23,9 +23,11 @@
 // responseMeta before the first events, and the other results before it closes
 // events.
 type attempt struct {
-	number    int
-	choice    balance.Choice
-	tracked   *balance.TrackedRequest
+	number  int
+	choice  balance.Choice
+	tracked *balance.TrackedRequest
+	// version is told the end of the attempt; nil if it has been, or if nobody wants to know.
+	version   VersionAttempt
 	startedAt time.Duration
 	// position is what the caller has of the stream.
 	position eventstream.Position
@@ -70,6 +72,7 @@
 	q.buffers = append(q.buffers, a.buffer)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	relay.instruments.attempts.Inc(1)
+	q.beginVersion(a)
 	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(), &a.choice)
 	q.logBegin(a)
 	go q.runAttempt(a)
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -20,7 +20,7 @@
 	req := q.balanceRequest()
 	req.Excluded, req.Allowed = excluded, allowed
 	targets := relay.Targets()
-	choice, rejection := relay.Balancer.Pick(relay.Now(), req, targets)
+	choice, rejection := q.pick(req, targets)
 	if rejection == nil {
 		return choice, nil
 	}
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/balance"
+	"github.com/baobabhub/baobabhub/pkg/canary"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
@@ -145,6 +146,7 @@
 		}
 		a.abandon(errSuperseded)
 		a.tracked.End(d.q.relay.Now(), balance.Cancelled)
+		d.q.endVersion(a, canary.NoEvidence)
 	}
 }
 
@@ -202,6 +204,7 @@
 	q.reportCrashEvidence(a, result)
 	a.cancel(nil)
 	a.tracked.End(q.relay.Now(), balanceResult(result))
+	q.endVersion(a, q.versionResult(a, result))
 	q.lastTarget = a.choice.Target.ID
 	q.mayHaveRun = q.mayHaveRun || result.mayHaveRun(a)
 	return result
@@ -314,5 +317,6 @@
 	q.mayHaveRun = true
 	q.logFailure(a, callerDisconnected)
 	a.tracked.End(q.relay.Now(), balance.Cancelled)
+	q.endVersion(a, canary.NoEvidence)
 	q.handleDisconnect(a)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -71,6 +71,9 @@
 	// StreamOrigins knows the software versions that began streams. If it is nil, a stream
 	// that a caller resumes may continue at any target.
 	StreamOrigins StreamOrigins
+	// VersionRollouts decides which software version gets a request while a service moves to
+	// another one. If it is nil, any may.
+	VersionRollouts VersionRollouts
 	// RunQuery asks engines which run a connection leads to. If it is nil, the registry is believed.
 	RunQuery call.RunQuery
 	// Stopping reports whether the process is stopping, in which case
@@ -168,6 +171,8 @@
 	// caller has; nil if it has none. Only targets of that version can continue it.
 	streamVersion *string
 	firstByte     time.Duration
+	// versionTurn is what a rollout decided for the next attempt, if that goes to the new version.
+	versionTurn VersionTurn
 }
 
 // ServeHTTP implements http.Handler.
