State machine: the budget is checked before the switch for all versions

Cause: a trial with a budget eight times as large stayed green, since the judge stopped the version first. Change: the bound of the exposure is checked for all versions until the switch.

--- a/pkg/canary/fleet_test.go
+++ b/pkg/canary/fleet_test.go
@@ -53,6 +53,8 @@
 	bad         int
 	badAt       time.Duration
 	completedAt time.Duration
+	// hasSwitched is set once a process has sent all requests to the new version.
+	hasSwitched bool
 }
 
 func newTestFleet(t *rapid.T) *testFleet {
@@ -96,6 +98,8 @@
 	for i, p := range f.processes {
 		if p.rollout != nil && f.now%(4*step) == 0 {
 			p.rollout.Judge(f.now, i == f.leader && !p.isCutOff)
+			state, _ := p.rollout.State()
+			f.hasSwitched = f.hasSwitched || state == Switching || state == Complete
 		}
 	}
 	f.lead()
@@ -270,9 +274,10 @@
 	}
 }
 
-// check checks the bound of the exposure of a bad version.
+// check checks the bound of the exposure. Before the switch it holds whatever the evidence shows, so
+// also for versions that are not bad.
 func (f *testFleet) check(t *rapid.T) {
-	if f.fault > 0 && float64(f.exposed) > boundShare*float64(f.all)+boundSlack {
+	if (f.fault > 0 || !f.hasSwitched) && float64(f.exposed) > boundShare*float64(f.all)+boundSlack {
 		t.Fatalf("%s: %d of %d requests went to a bad version", f.now, f.exposed, f.all)
 	}
 }
