--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -58,6 +58,9 @@
 	// Continues reports that the request goes on with a stream that has begun. It needs a
 	// run of a target that is known to have its software version.
 	Continues bool
+	// IsBuffered is set if the first byte of the response counts only when all of it has
+	// arrived.
+	IsBuffered bool
 	// MaxExpectedTTFB is the longest acceptable expected time to the first byte;
 	// 0 means no limit.
 	MaxExpectedTTFB time.Duration
@@ -75,6 +78,8 @@
 	CacheSalt string
 	// ExpectedTTFB is the expected time to the first byte.
 	ExpectedTTFB time.Duration
+	// estimate holds what the expected time rests on, if learned delays apply.
+	estimate estimate
 	// PrefillTokens is the number of prompt tokens that the target has to process.
 	// Imported tokens count at their lower cost.
 	PrefillTokens float64
@@ -153,6 +158,10 @@
 	// peerLoads holds the latest report of each peer.
 	peerLoads    map[string]peerReport
 	fleetTargets map[TargetKey]*fleetTarget
+	// adaptive is set by SetAdaptive.
+	adaptive bool
+	// reportCount is the number of reports to peers.
+	reportCount int
 	// lastReportAt is the time at which this process last reported its loads, and
 	// resumedAt the end of its latest pause.
 	lastReportAt     time.Duration
@@ -295,12 +304,17 @@
 
 // lowestScore returns the choice with the lowest score among the candidates.
 func (b *Balancer) lowestScore(now time.Duration, req *Request, candidates []candidate) Choice {
+	if stats := b.serviceStats(req.Service); req.Model != "" && b.isAdaptive(stats) {
+		b.estimateQueues(now, stats, candidates)
+		setSpeedClasses(candidates)
+	}
 	preferred := b.affinity(now, req, candidates)
 	stored := map[string]storeMatch{}
 	var best Choice
 	var bestScore time.Duration
 	for i := range candidates {
 		choice, score := b.score(now, req, candidates, i, preferred, stored)
+		score += b.spreadPenalty(req, candidates, i, preferred)
 		if req.MaxExpectedTTFB > 0 && choice.ExpectedTTFB > req.MaxExpectedTTFB {
 			score += excessTTFBPenalty
 		}
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -37,6 +37,10 @@
 	allowance targetlimit.Allowance
 	// hash is the hash of the target's identifier.
 	hash uint64
+	// queue is what the target's queue is expected to be, if learned delays apply.
+	queue queueEstimate
+	// speedClass is the target's speed, if learned delays apply.
+	speedClass int
 }
 
 // filter drops the targets that cannot serve the request. Among the rest it
--- a/pkg/balance/liveness.go
+++ b/pkg/balance/liveness.go
@@ -33,6 +33,8 @@
 type fleetTarget struct {
 	// peers is the sum of the loads that the peers report.
 	peers TargetLoad
+	// peerDrain is the sum of the peers' samples of the target's drain rate.
+	peerDrain decayedSums
 	// ownPending is the number of this process's requests without a first byte.
 	ownPending int
 	// progressAt is the time of the latest bytes that any process is known to have
@@ -100,6 +102,7 @@
 		b.resumedAt = now
 	}
 	b.lastReportAt = now
+	b.reportCount++
 }
 
 // isResuming reports whether the process has peers and was paused until now, so that it
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -32,12 +32,17 @@
 	// ProgressAge is the age of the latest bytes that the process received from the
 	// target; 0 if there are none that are recent.
 	ProgressAge time.Duration
+	// Drain holds the process's samples of the target's drain rate. Not every report
+	// holds them.
+	Drain DrainSums
 }
 
 // peerReport holds the loads that a peer reported.
 type peerReport struct {
 	receivedAt time.Duration
 	loads      map[TargetKey]TargetLoad
+	// drains holds the latest samples of drain rates by target.
+	drains map[TargetKey]decayedSums
 }
 
 // LocalLoads returns the load that this process places on each target. Targets without
@@ -57,7 +62,7 @@
 	loads := map[TargetKey]TargetLoad{}
 	for boot, s := range b.targetStates {
 		if s.inFlight > 0 && s.changing(now) {
-			loads[KeyOf(boot.ID)] = b.localLoad(now, s)
+			loads[KeyOf(boot.ID)] = TargetLoad{InFlight: s.inFlight, Pending: s.pending, Backlog: b.reportedBacklog(now, s)}
 		}
 	}
 	return loads
@@ -66,8 +71,8 @@
 func (b *Balancer) localLoads(now time.Duration) map[TargetKey]TargetLoad {
 	loads := map[TargetKey]TargetLoad{}
 	for boot, s := range b.targetStates {
-		if load := b.localLoad(now, s); load != (TargetLoad{}) {
-			key := KeyOf(boot.ID)
+		key := KeyOf(boot.ID)
+		if load := b.localLoad(now, key, s); load != (TargetLoad{}) {
 			loads[key] = loads[key].plus(load, 0)
 		}
 	}
@@ -75,14 +80,27 @@
 }
 
 // localLoad returns the load that this process places on a run of a target.
-func (b *Balancer) localLoad(now time.Duration, s *targetState) TargetLoad {
-	load := TargetLoad{InFlight: s.inFlight, Pending: s.pending, ProgressAge: s.progressAge(now)}
-	if s.pending > 0 {
-		load.Backlog = math.Round(s.backlog(now, b.serviceStats(s.service).prefillRate, s.fleet.peers.Backlog))
+func (b *Balancer) localLoad(now time.Duration, key TargetKey, s *targetState) TargetLoad {
+	load := TargetLoad{InFlight: s.inFlight, Pending: s.pending, Backlog: b.reportedBacklog(now, s), ProgressAge: s.progressAge(now)}
+	if b.reportsDrain(key) && b.isAdaptive(b.serviceStats(s.service)) {
+		load.Drain = s.drain.current(now).reported()
 	}
 	return load
 }
 
+// reportsDrain reports whether the current report holds the samples for a target.
+func (b *Balancer) reportsDrain(key TargetKey) bool {
+	return int(key%drainReportCycle) == b.reportCount%drainReportCycle
+}
+
+// reportedBacklog returns the backlog of this process at the target as reported to peers.
+func (b *Balancer) reportedBacklog(now time.Duration, s *targetState) float64 {
+	if s.pending == 0 {
+		return 0
+	}
+	return math.Round(b.localBacklog(now, s, b.serviceStats(s.service)))
+}
+
 // GroupLoads returns the load that this process and the given peers place on
 // each target.
 func (b *Balancer) GroupLoads(now time.Duration, peers []string) map[TargetKey]TargetLoad {
@@ -95,6 +113,13 @@
 		for key, load := range report.loads {
 			loads[key] = loads[key].plus(load, now-report.receivedAt)
 		}
+		for key, drain := range report.drains {
+			if sums := drain.current(now).reported(); b.reportsDrain(key) && !sums.isZero() {
+				load := loads[key]
+				load.Drain = load.Drain.plus(sums)
+				loads[key] = load
+			}
+		}
 	}
 	return loads
 }
@@ -102,13 +127,21 @@
 // plus returns the sum of two loads on one target, of which the other one was reported
 // some time ago.
 func (l TargetLoad) plus(other TargetLoad, reportAge time.Duration) TargetLoad {
-	sum := TargetLoad{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Backlog: l.Backlog + other.Backlog, ProgressAge: l.ProgressAge}
+	sum := TargetLoad{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Backlog: l.Backlog + other.Backlog, ProgressAge: l.ProgressAge, Drain: l.Drain}
 	if age := other.ProgressAge + reportAge; other.ProgressAge > 0 && age <= maxReportedProgressAge && (sum.ProgressAge == 0 || age < sum.ProgressAge) {
 		sum.ProgressAge = age
 	}
 	return sum
 }
 
+// reported returns the sums as they are sent to peers; zero if they are too small.
+func (d DrainSums) reported() DrainSums {
+	if d.isZero() {
+		return DrainSums{}
+	}
+	return d
+}
+
 // SetPeerLoads replaces the loads reported by a peer process with those that it reported
 // now.
 func (b *Balancer) SetPeerLoads(now time.Duration, peer string, loads map[TargetKey]TargetLoad) {
@@ -125,7 +158,17 @@
 	for key := range loads {
 		b.fleetTarget(key).updateWaiting(now, false)
 	}
-	b.peerLoads[peer] = peerReport{receivedAt: now, loads: loads}
+	report := peerReport{receivedAt: now, loads: loads, drains: b.peerLoads[peer].drains}
+	if report.drains == nil {
+		report.drains = map[TargetKey]decayedSums{}
+	}
+	for key, load := range loads {
+		if !load.Drain.isZero() {
+			b.fleetTarget(key).setPeerDrain(now, report.drains[key], load.Drain)
+			report.drains[key] = decayedSums{sums: load.Drain, at: now}
+		}
+	}
+	b.peerLoads[peer] = report
 }
 
 // RemovePeer removes the loads of a peer that is no longer heard.
--- a/pkg/balance/primary.go
+++ b/pkg/balance/primary.go
@@ -126,7 +126,7 @@
 	homes := make([]int, 0, count)
 	weights := make([]uint64, 0, count)
 	for i := range candidates {
-		weight := rendezvousWeight(id, candidates[i].hash)
+		weight := candidates[i].weight(id)
 		position := len(homes)
 		for position > 0 && weights[position-1] < weight {
 			position--
@@ -149,7 +149,7 @@
 func highestWeight(id uint64, candidates []candidate, indexes []int) int {
 	best, bestWeight := -1, uint64(0)
 	consider := func(i int) {
-		if weight := rendezvousWeight(id, candidates[i].hash); best < 0 || weight > bestWeight {
+		if weight := candidates[i].weight(id); best < 0 || weight > bestWeight {
 			best, bestWeight = i, weight
 		}
 	}
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -85,17 +85,16 @@
 		work, recomputed = b.prefillWork(now, req, candidates, index, preferred, &choice, stored)
 		choice.Primary, choice.RecomputedTokens = index == preferred.primary, int64(recomputed)
 	}
-	peerLoad := c.state.fleet.peers
 	choice.PrefillTokens = work
-	queuedTokens := c.state.backlog(now, stats.prefillRate, peerLoad.Backlog) + peerLoad.Backlog
-	expected := baseTTFB + prefillTime(queuedTokens+work, stats)
+	e := b.expectedDelay(now, req, c, stats, work)
+	choice.estimate = e
+	expected := e.delay
 	if choice.Import == ImportFromStore {
 		expected += stored[choice.CacheSalt].importDelay
 	}
-	expected += b.slotWait(c, peerLoad, stats, req.Model != "")
 	expected += c.target.RemainingWarmUp / warmUpDivisor
 	choice.ExpectedTTFB = expected
-	score := expected + prefillTime(queueExtraWeight*queuedTokens+recomputePenalty*recomputed, stats)
+	score := expected - e.delay + e.cost + prefillTime(recomputePenalty*recomputed, e.rate)
 	if c.target.DataCentre != b.dataCentre {
 		score += crossDataCentrePenalty
 	}
@@ -112,10 +111,25 @@
 	if recomputed > 0 {
 		score += maxTargetBias
 	}
+	return choice, score
+}
+
+// spreadPenalty returns the penalty that keeps processes from all choosing the same
+// target.
+func (b *Balancer) spreadPenalty(req *Request, candidates []candidate, index int, preferred affinity) time.Duration {
+	c := &candidates[index]
+	if req.Model != "" && b.isAdaptive(b.serviceStats(req.Service)) {
+		penalty := b.tieBreak(c)
+		if preferred.primary >= 0 && index != preferred.primary {
+			penalty += maxTargetBias / 2
+		}
+		return penalty
+	}
+	penalty := time.Duration(b.random.Int64N(int64(scoreJitter)))
 	if index != preferred.primary {
-		score += b.targetBias(c.target.ID)
+		penalty += b.targetBias(c.target.ID)
 	}
-	return choice, score + time.Duration(b.random.Int64N(int64(scoreJitter)))
+	return penalty
 }
 
 // targetBias returns the penalty, at least 0 and less than maxTargetBias, that
@@ -126,8 +140,24 @@
 	return time.Duration(xxhash.Sum64String(b.processID+"\x00"+targetID) % uint64(maxTargetBias))
 }
 
-func prefillTime(tokens float64, stats *serviceStats) time.Duration {
-	return time.Duration(tokens / stats.prefillRate * float64(time.Millisecond))
+// prefillTime returns the time in which tokens are processed at a rate in tokens per
+// millisecond.
+func prefillTime(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / rate * float64(time.Millisecond))
+}
+
+// expectedDelay returns the expected delay of a request that adds work tokens to a
+// target's queue.
+func (b *Balancer) expectedDelay(now time.Duration, req *Request, c *candidate, stats *serviceStats, work float64) estimate {
+	if req.Model != "" && b.isAdaptive(stats) {
+		return b.estimateDelay(c, stats, req.IsBuffered, work)
+	}
+	peerLoad := c.state.fleet.peers
+	e := estimate{rate: stats.prefillRate}
+	e.queuedTokens = c.state.backlog(now, e.rate, peerLoad.Backlog) + peerLoad.Backlog
+	e.delay = baseTTFB + prefillTime(e.queuedTokens+work, e.rate) + b.slotWait(c, peerLoad, stats, req.Model != "")
+	e.cost = e.delay + prefillTime(queueExtraWeight*e.queuedTokens, e.rate)
+	return e
 }
 
 // prefillWork returns the number of prompt tokens that the candidate has to
@@ -218,7 +248,7 @@
 		}
 	}
 	match.importDelay = b.importDelays.of(now, match.address)
-	match.busy = match.importDelay > prefillTime(match.tokens, b.serviceStats(req.Service))
+	match.busy = match.importDelay > prefillTime(match.tokens, b.serviceStats(req.Service).prefillRate)
 	return match
 }
 
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -56,6 +56,10 @@
 	// negative if it has received none.
 	heardAt time.Duration
 	fleet   *fleetTarget
+	// drain holds this process's samples of the target's drain rate, and speedClass the
+	// class of the rate among the targets of its service.
+	drain      decayedSums
+	speedClass int
 
 	load           call.Load
 	loadReportedAt time.Duration
@@ -90,6 +94,15 @@
 type serviceStats struct {
 	prefillRate float64
 	serviceTime time.Duration
+	// drain holds this process's samples of the drain rates of all targets.
+	drain decayedSums
+	// streamDelays and bufferedDelays estimate the times to the first byte.
+	streamDelays, bufferedDelays delayModel
+	meanWork                     meanWork
+	// holdTime is the time for which a prompt holds a slot of an engine.
+	holdTime time.Duration
+	// reportsPace is set once a target of the service has reported how long work takes.
+	reportsPace bool
 }
 
 func (s *serviceStats) addPrefillSample(rate float64) {
@@ -112,7 +125,7 @@
 func (b *Balancer) serviceStats(name string) *serviceStats {
 	s, ok := b.statsByService[name]
 	if !ok {
-		s = &serviceStats{prefillRate: initialPrefillRate, serviceTime: initialServiceTime}
+		s = &serviceStats{prefillRate: initialPrefillRate, serviceTime: initialServiceTime, holdTime: initialServiceTime}
 		b.statsByService[name] = s
 	}
 	return s
--- a/pkg/balance/tracked.go
+++ b/pkg/balance/tracked.go
@@ -22,6 +22,14 @@
 	expectedTTFB time.Duration
 	importStore  string
 	isPrompt     bool
+	isBuffered   bool
+	firstByteAt  time.Duration
+	// workMS and drainTokens are the work ahead of the first byte, in milliseconds and in
+	// tokens, as estimated at dispatch. otherDelay is the part of expectedTTFB that doesn't
+	// depend on the target's queue.
+	workMS      float64
+	drainTokens float64
+	otherDelay  time.Duration
 }
 
 // Begin records that a request is sent to the chosen target.
@@ -31,12 +39,17 @@
 	s := b.targetState(choice.Target.Boot())
 	s.backlog(now, b.serviceStats(req.Service).prefillRate, s.fleet.peers.Backlog)
 	t := &TrackedRequest{balancer: b, state: s, service: req.Service, startedAt: now, prefillTokens: choice.PrefillTokens}
-	t.expectedTTFB, t.isPrompt = choice.ExpectedTTFB, req.Model != ""
+	t.expectedTTFB, t.isPrompt, t.isBuffered = choice.ExpectedTTFB, req.Model != "", req.IsBuffered
+	t.workMS, t.drainTokens = choice.estimate.workMS, choice.estimate.queuedTokens+choice.PrefillTokens
+	t.otherDelay = choice.ExpectedTTFB - choice.estimate.delay
 	if choice.Import == ImportFromStore {
 		t.importStore = choice.ImportAddress
 	}
 	t.onlyPending = s.pending == 0 && s.fleet.peers.Pending == 0
 	s.service = req.Service
+	if t.isPrompt {
+		b.serviceStats(req.Service).meanWork.add(now, choice.PrefillTokens)
+	}
 	s.inFlight++
 	s.pending++
 	s.pendingRequests = append(s.pendingRequests, t)
@@ -86,6 +99,10 @@
 		t.balancer.importDelays.record(now, t.importStore, now-t.startedAt-t.expectedTTFB)
 	}
 	t.endPending(now, false)
+	if first {
+		t.firstByteAt = now
+		t.learnDelay(now)
+	}
 	if first && t.onlyPending && t.prefillTokens >= minPrefillSampleTokens {
 		elapsed := float64(now-t.startedAt-baseTTFB) / float64(time.Millisecond)
 		t.balancer.serviceStats(t.service).addPrefillSample(t.prefillTokens / max(1, elapsed))
@@ -163,6 +180,7 @@
 		t.state.unreachable = false
 		t.state.endedCount++
 		t.state.avoidDuration = 0
+		t.learnHoldTime(now)
 		stats := t.balancer.serviceStats(t.service)
 		stats.serviceTime += time.Duration(sampleWeight * float64(now-t.startedAt-stats.serviceTime))
 	case Failed, Refused:
@@ -180,6 +198,8 @@
 	case Cancelled:
 		if isStalled {
 			t.state.avoid(now, minStalledAvoidDuration)
+		} else if !firstByteSeen && now-t.startedAt > t.expectedTTFB {
+			t.learnDelay(now)
 		}
 	}
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -178,6 +178,7 @@
 		unreadableTargets: map[string]uint64{},
 	}
 	e.drainExpired, e.expireDrain = context.WithCancel(context.Background())
+	e.balancer.SetAdaptive(settings.OverloadControl)
 	e.limiter = tokenrate.New(settings.FirstStart)
 	e.members = newMemberList(e)
 	e.lease = newLeaseManager(e)
--- a/pkg/gossip/load_test.go
+++ b/pkg/gossip/load_test.go
@@ -31,4 +31,9 @@
 		So(m.TargetLoads[7], ShouldResemble, load)
 		So(proto.Size((&Message{}).state()), ShouldEqual, 0)
 	})
+	Convey("The samples of a target's drain rate are rounded down to 64 tokens and 4 ms", t, func() {
+		m, err := decode(encode(balance.TargetLoad{InFlight: 1, Drain: balance.DrainSums{Tokens: 6500, MS: 103}}))
+		So(err, ShouldBeNil)
+		So(m.TargetLoads[7].Drain, ShouldResemble, balance.DrainSums{Tokens: 6464, MS: 100})
+	})
 }
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -142,7 +142,7 @@
 	for target, load := range m.TargetLoads {
 		state.Work = append(state.Work, &gossippb.Work{
 			Target: uint32(target), Running: uint32(load.InFlight), Unstarted: uint32(load.Pending), Backlog: uint32(load.Backlog),
-			Progress: encodeAge(load.ProgressAge),
+			Progress: encodeAge(load.ProgressAge), DrainedTokens: uint32(load.Drain.Tokens / drainTokensUnit), DrainedMs: uint32(load.Drain.MS / drainMSUnit),
 		})
 	}
 	for _, a := range m.AnnouncedVersions {
@@ -167,6 +167,13 @@
 	return state
 }
 
+// drainTokensUnit and drainMSUnit are the units of the sums from which drain rates are
+// estimated. The rounding is small compared with the sums of a busy target.
+const (
+	drainTokensUnit = 64
+	drainMSUnit     = 4
+)
+
 // ageUnit is the unit of the ages in a target's load. Ages up to 1.27 s take one byte.
 const ageUnit = 10 * time.Millisecond
 
@@ -294,6 +301,7 @@
 		m.TargetLoads[balance.TargetKey(w.GetTarget())] = balance.TargetLoad{
 			InFlight: int(w.GetRunning()), Pending: int(w.GetUnstarted()), Backlog: float64(w.GetBacklog()),
 			ProgressAge: time.Duration(w.GetProgress()) * ageUnit,
+			Drain:       balance.DrainSums{Tokens: float64(w.GetDrainedTokens()) * drainTokensUnit, MS: float64(w.GetDrainedMs()) * drainMSUnit},
 		}
 	}
 	for _, n := range state.GetNamed() {
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -54,7 +54,7 @@
 }
 
 func (q *request) balanceRequest() *balance.Request {
-	req := &balance.Request{Service: q.service, SoftwareVersions: q.softwareVersions(), Continues: q.streamVersion != nil, MaxExpectedTTFB: q.maxFirstByteWait()}
+	req := &balance.Request{Service: q.service, SoftwareVersions: q.softwareVersions(), Continues: q.streamVersion != nil, IsBuffered: q.route.Kind != fleet.Stream, MaxExpectedTTFB: q.maxFirstByteWait()}
 	service, ok := q.config.Services[q.service]
 	if !ok || !service.HasEngines || q.meta.Model == "" {
 		return req
