Overload control: waiting requests, limits of classes and refusals, wired into the relay

Cause: under overload, processes sent requests until engines rejected them or dropped them from their queues, and urgent requests waited behind others.

Change: pkg/loadshed queues requests by class, fairly by account, and refuses those that would wait in vain.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -222,6 +222,8 @@
 		DrainExpired:  e.drainExpired,
 		Processes:     e.members.processCount,
 		Retries:       relay.NewRetryBudgets(settings.RetryRatio, settings.RetryBurst),
+
+		OverloadControl: settings.OverloadControl,
 	})
 	return e, nil
 }
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -92,6 +92,10 @@
 		[]string{"target", "born", "source"}}
 	ConnNotReset = Event{957, "conn_not_reset", "The connection of an incomplete response that ends with its connection could not be set up to be reset, so that its caller may take the response for complete.",
 		[]string{"request_id", "err"}}
+	OverloadRefused = Event{962, "overload_refused", "Overload control refused a request, which has not run: the engines of its service have no room for it, and it would not have been sent in time. ahead is the number of waiting requests before it and rate what the process can send of its class, in requests a second; limit_ms is the longest expected time to the first byte at which it would have been sent. over_ms is how far the best engine was above it when the request arrived.",
+		[]string{"request_id", "service", "class", "account", "reason", "ahead", "rate", "expected_wait_ms", "limit_ms", "over_ms", "waited_ms", "waiting", "left_ms"}}
+	OverloadAdmitted = Event{963, "overload_admitted", "A request that had waited in the process for room at the engines of its service was sent. min_share says that it was sent beyond the limit of its class, so that less urgent classes get a minimum share.",
+		[]string{"request_id", "service", "class", "account", "waited_ms", "expected_ms", "limit_ms", "min_share", "waiting"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -103,5 +107,5 @@
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
 	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed, TrialTaken,
-	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
+	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset, OverloadRefused, OverloadAdmitted,
 }
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -208,6 +208,26 @@
 	return account, ok
 }
 
+// RoutesTo returns the routes that lead to a service.
+func (c *Config) RoutesTo(service string) []Route {
+	var found []Route
+	for _, routes := range c.routes {
+		for i := range routes {
+			if slices.ContainsFunc(routes[i].Backends, func(b Backend) bool { return b.Service == service }) {
+				found = append(found, routes[i])
+			}
+		}
+	}
+	return found
+}
+
+// EachAccount calls fn with each account.
+func (c *Config) EachAccount(fn func(*Account)) {
+	for _, account := range c.accounts {
+		fn(account)
+	}
+}
+
 // CacheStores returns the sorted addresses of the deployment's KV cache
 // stores.
 func (c *Config) CacheStores() []string { return c.stores }
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -76,7 +76,7 @@
 		return failed
 	}
 	a.exchange.Finish(true)
-	a.tracked.RecordFirstByte(q.relay.Now())
+	q.recordFirstByte(a, q.relay.Now())
 	a.body = body
 	return completed
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -41,6 +41,8 @@
 	// silences counts the times without events since the latest one that were long
 	// enough for a second attempt.
 	silences int
+	// isFirstByteRecorded is set once the first byte has been recorded.
+	isFirstByteRecorded bool
 
 	// isConnKept is set if the connection to the target had been used before.
 	isConnKept bool
@@ -70,12 +72,30 @@
 	q.buffers = append(q.buffers, a.buffer)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	relay.instruments.attempts.Inc(1)
-	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(), &a.choice)
+	a.tracked, q.admitted = q.admitted, nil
+	if a.tracked == nil {
+		a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(), &a.choice)
+	}
 	q.logBegin(a)
 	go q.runAttempt(a)
 	return a
 }
 
+// recordFirstByte records the first byte of the attempt's response.
+func (q *request) recordFirstByte(a *attempt, now time.Duration) {
+	a.tracked.RecordFirstByte(now)
+	if !a.isFirstByteRecorded {
+		a.isFirstByteRecorded = true
+		q.relay.overload.roomAppeared(q.service)
+	}
+}
+
+// endTracked records that the attempt no longer uses its target.
+func (q *request) endTracked(a *attempt, result balance.Result) {
+	a.tracked.End(q.relay.Now(), result)
+	q.relay.overload.roomAppeared(q.service)
+}
+
 // streamPosition returns what the caller has of the stream.
 func (q *request) streamPosition() eventstream.Position {
 	return eventstream.Position{Begun: q.wroteHeader, LastID: cmp.Or(q.lastEventID, q.meta.LastEventID)}
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -54,7 +54,7 @@
 }
 
 func (q *request) balanceRequest() *balance.Request {
-	req := &balance.Request{Service: q.service, SoftwareVersions: q.softwareVersions(), Continues: q.streamVersion != nil, MaxExpectedTTFB: q.maxFirstByteWait()}
+	req := &balance.Request{Service: q.service, SoftwareVersions: q.softwareVersions(), Continues: q.streamVersion != nil, MaxExpectedTTFB: q.maxExpectedTTFB()}
 	service, ok := q.config.Services[q.service]
 	if !ok || !service.HasEngines || q.meta.Model == "" {
 		return req
@@ -77,6 +77,15 @@
 	return q.remaining()
 }
 
+// maxExpectedTTFB returns the longest expected time to the first byte at which the request is
+// sent to a target.
+func (q *request) maxExpectedTTFB() time.Duration {
+	if q.overloadLimit > 0 {
+		return min(q.overloadLimit, q.maxFirstByteWait())
+	}
+	return q.maxFirstByteWait()
+}
+
 // salt returns the cache salt, which separates the cache entries of weights
 // versions and of isolated accounts. The salt that the other accounts share changes with the
 // set of isolated ones, since one of those may have made entries before it became isolated.
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -144,7 +144,7 @@
 			continue
 		}
 		a.abandon(errSuperseded)
-		a.tracked.End(d.q.relay.Now(), balance.Cancelled)
+		d.q.endTracked(a, balance.Cancelled)
 	}
 }
 
@@ -155,7 +155,7 @@
 	if q.callerConnClosed() {
 		q.handleDisconnect(&attempt{})
 	}
-	choice, refusal := q.chooseTarget(d.excluded, d.allowed)
+	choice, refusal := q.chooseWithCapacity(d.ctx, d.excluded, d.allowed)
 	for refusal != nil && !refusal.permanent && d.mayChooseLater() && q.waitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
 		clear(d.excluded)
@@ -201,7 +201,7 @@
 	}
 	q.reportCrashEvidence(a, result)
 	a.cancel(nil)
-	a.tracked.End(q.relay.Now(), balanceResult(result))
+	q.endTracked(a, balanceResult(result))
 	q.lastTarget = a.choice.Target.ID
 	q.mayHaveRun = q.mayHaveRun || result.mayHaveRun(a)
 	return result
@@ -313,6 +313,6 @@
 	a.endedBy = errCallerLeft
 	q.mayHaveRun = true
 	q.logFailure(a, callerDisconnected)
-	a.tracked.End(q.relay.Now(), balance.Cancelled)
+	q.endTracked(a, balance.Cancelled)
 	q.handleDisconnect(a)
 }
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -106,10 +106,7 @@
 		Account:     q.accountName(),
 		LastEventID: a.position.LastID,
 		HasPriority: true,
-		Priority:    min(9, max(0, q.route.Priority)),
-	}
-	if q.account != nil && q.account.HasPriority {
-		fields.Priority = min(9, max(0, q.account.Priority))
+		Priority:    q.priority(),
 	}
 	if a.choice.CacheSalt == "" {
 		fields.HasPriority = false
--- /dev/null
+++ b/pkg/relay/overloadlimit.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/loadshed"
+)
+
+// serviceClasses holds the classes of the requests that a configuration leads to a service.
+type serviceClasses struct {
+	config  *fleet.Config
+	classes []loadshed.Class
+	// weight is the mean rate in tokens a second of the accounts that have one. It is the weight
+	// of those without.
+	weight float64
+}
+
+// update derives the classes from the configuration in force.
+func (s *serviceClasses) update(config *fleet.Config, service string) {
+	if s.config == config {
+		return
+	}
+	*s = serviceClasses{config: config, weight: defaultAccountWeight}
+	routes := config.RoutesTo(service)
+	priorities := map[int]bool{}
+	total, count := 0.0, 0
+	config.EachAccount(func(account *fleet.Account) {
+		if account.HasPriority {
+			priorities[clampPriority(account.Priority)] = true
+		}
+		if account.TokensPerSecond > 0 && !account.CountsRequests {
+			total += account.TokensPerSecond
+			count++
+		}
+	})
+	if count > 0 {
+		s.weight = total / float64(count)
+	}
+	for i := range routes {
+		class := loadshed.Class{Priority: clampPriority(routes[i].Priority), Objective: routes[i].FirstByteObjective, Timeout: routes[i].Timeout}
+		s.classes = append(s.classes, class)
+		// Accounts with their own priority may use any route.
+		for priority := range priorities {
+			class.Priority = priority
+			s.classes = append(s.classes, class)
+		}
+	}
+}
+
+// priority returns the request's priority as engines know it: that of its account, if that has one.
+func (q *request) priority() int {
+	if q.account != nil && q.account.HasPriority {
+		return clampPriority(q.account.Priority)
+	}
+	return clampPriority(q.route.Priority)
+}
+
+func clampPriority(priority int) int { return min(9, max(0, priority)) }
+
+// class returns the class of the request.
+func (q *request) class() loadshed.Class {
+	return loadshed.Class{Priority: q.priority(), Objective: q.route.FirstByteObjective, Timeout: q.route.Timeout}
+}
+
+// limit returns the longest expected time to the first byte at which a request is sent, or 0 if
+// only its own time limits it. relaxed lifts the limit of its class. fraction scales the limit.
+func (c *capacityQueue) limit(r *waitingRequest, relaxed bool, fraction float64) time.Duration {
+	q, now := r.q, c.control.relay.Now()
+	c.classes.update(q.config, c.service)
+	limit := loadshed.Limits(q.class(), c.classes.classes)
+	switch {
+	case relaxed:
+		return 0
+	case limit == 0 && !c.queue.IsExcessive(now, r.ticket.Priority, r.ticket.Account):
+		return 0
+	case limit == 0:
+		limit = loadshed.SoftLimit(q.class())
+	}
+	scaled := time.Duration(fraction * c.control.limitFactor * float64(limit))
+	return scaled + c.promptTime.Of(now, float64(q.meta.PromptTokens))
+}
+
+// ticket describes a request to the queue.
+func (c *capacityQueue) ticket(q *request) loadshed.Ticket {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.classes.update(q.config, c.service)
+	now, wait := q.relay.Now(), q.maxFirstByteWait()
+	ticket := loadshed.Ticket{
+		Priority: q.priority(), Account: q.accountName(), AccountWeight: c.classes.weight, Tokens: q.cost,
+		Deadline: now + wait, Objective: q.route.FirstByteObjective,
+	}
+	if q.account != nil && q.account.TokensPerSecond > 0 {
+		ticket.AccountWeight = q.account.TokensPerSecond
+	}
+	if q.account == nil {
+		ticket.Tokens = float64(q.meta.PromptTokens + q.meta.OutputTokens)
+	}
+	lead := loadshed.Limits(q.class(), c.classes.classes)
+	if lead == 0 {
+		lead = loadshed.SoftLimit(q.class())
+	}
+	ticket.Lead = max(minLead, min(lead+c.promptTime.Of(now, float64(q.meta.PromptTokens)), wait/2))
+	return ticket
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -86,12 +86,17 @@
 	Processes func() int
 	// Retries limits the requests that are sent more than once.
 	Retries *RetryBudgets
+	// OverloadControl makes requests wait, or refuses them, while the engines of their service
+	// can't serve them in time.
+	OverloadControl bool
 }
 
 // Relay is the http.Handler for callers.
 type Relay struct {
 	Config
 	instruments instruments
+	// overload holds the requests that wait for capacity; nil without overload control.
+	overload *overloadControl
 }
 
 // New returns a Relay with the given dependencies.
@@ -102,7 +107,11 @@
 	if config.OnEnded == nil {
 		config.OnEnded = func(fleet.Boot) {}
 	}
-	return &Relay{Config: config, instruments: newInstruments(config.Metrics)}
+	relay := &Relay{Config: config, instruments: newInstruments(config.Metrics)}
+	if config.OverloadControl {
+		relay.overload = newOverloadControl(relay)
+	}
+	return relay
 }
 
 // callerConnKey is the context key of the caller's connection.
@@ -168,6 +177,11 @@
 	// caller has; nil if it has none. Only targets of that version can continue it.
 	streamVersion *string
 	firstByte     time.Duration
+	// overloadLimit is the longest expected time to the first byte at which overload control
+	// lets the request be sent; 0 sets no limit.
+	overloadLimit time.Duration
+	// admitted is the request at its first target, if overload control has chosen that.
+	admitted *balance.TrackedRequest
 }
 
 // ServeHTTP implements http.Handler.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -46,7 +46,7 @@
 // succeeded.
 func (q *request) writeEvents(a *attempt, controller *http.ResponseController, events []byte) bool {
 	now := q.relay.Now()
-	a.tracked.RecordFirstByte(now)
+	q.recordFirstByte(a, now)
 	q.writeResponseHeader(a, now)
 	q.trackEvents(events)
 	q.setWriteDeadline()
--- a/pkg/relay/virtualtime_test.go
+++ b/pkg/relay/virtualtime_test.go
@@ -33,6 +33,7 @@
 	testHeaderStamp   = "Stamp"
 	testHeaderNotRun  = "Not-Run"
 	testHeaderTimeout = "Timeout-Ms"
+	testHeaderKey     = "Key"
 )
 
 // testCodec implements call.Codec with the headers above.
@@ -40,7 +41,7 @@
 
 func (testCodec) DecodeRequest(h http.Header) call.RequestMetadata {
 	ms, _ := strconv.Atoi(h.Get(testHeaderTimeout))
-	return call.RequestMetadata{ID: h.Get(testHeaderID), Deadline: time.Duration(ms) * time.Millisecond}
+	return call.RequestMetadata{ID: h.Get(testHeaderID), APIKey: h.Get(testHeaderKey), Deadline: time.Duration(ms) * time.Millisecond}
 }
 
 func (testCodec) ForwardHeader(h http.Header, f call.ForwardFields) http.Header {
