Overload control: a pace of each class that follows the observed waits

Cause: in a model of 24 and 103 processes with state that is 0.1 to 0.3 s old, all processes filled the same room, so that the queues of the engines grew to several times the limit of the less urgent class.

Change: a class is paced by its answers and by the waits for first bytes that the process observes. A request is accepted into the queue only if it is expected to meet its objective.

--- a/pkg/loadshed/class.go
+++ b/pkg/loadshed/class.go
@@ -19,7 +19,12 @@
 	waiting    int
 	// direct measures the requests that were sent without waiting.
 	direct meter
-	usage  usage
+	// sends measures all requests of the class that were sent.
+	sends meter
+	usage usage
+	pace  pace
+	// shortestWait is the shortest time to the first byte, without that of the prompt.
+	shortestWait floor
 	// returnAt is the time at which the latest refused request of the class was told to return.
 	returnAt time.Duration
 }
@@ -102,16 +107,14 @@
 	return heads
 }
 
-// ahead returns the number of waiters of the class that are sent before a new one.
+// ahead returns the number of waiters of the class that are sent before a new one, or that it would
+// delay: those of its account count as well if their deadlines are later.
 func (c *class) ahead(w *Waiter) int {
 	own, ok := c.flows[w.Account]
 	tag, count := c.nextTag(w.Account), 0
 	if ok {
 		tag = own.startTag
 		for _, other := range own.waiters {
-			if compareWaiters(other, w) > 0 {
-				break
-			}
 			count++
 			tag += other.cost()
 		}
--- a/pkg/loadshed/limits.go
+++ b/pkg/loadshed/limits.go
@@ -55,6 +55,15 @@
 	return max(minLimit, shortest(class.Objective, class.Timeout)/urgentObjectiveDivisor)
 }
 
+// QueueTarget returns the time that requests of a class are meant to wait at engines under overload:
+// the limit of the class, or the soft limit if it has none.
+func QueueTarget(class Class, classes []Class) time.Duration {
+	if limit := Limits(class, classes); limit > 0 {
+		return limit
+	}
+	return SoftLimit(class)
+}
+
 // shortest returns the smaller of two durations, of which 0 stands for no bound.
 func shortest(a, b time.Duration) time.Duration {
 	if a == 0 || (b != 0 && b < a) {
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -33,41 +33,31 @@
 	}
 }
 
-const (
-	// stepInterval is the time after which the load that other processes have sent is
-	// known here, the gossip interval.
-	stepInterval = 100 * time.Millisecond
-	// stepGrowth is the factor by which a process may send faster from its queue than it has
-	// lately sent. All processes see the same room at the same time; the factor bounds the
-	// work that they send together before they learn of each other's.
-	stepGrowth = 1.5
-)
+// floorRecovery is the time in which an observed minimum doubles, so that it follows engines that
+// become slower. It is long compared with an overload.
+const floorRecovery = time.Minute
 
-// stepLimit bounds how many waiting requests a process sends within a gossip interval.
-type stepLimit struct {
-	budget    float64
+// floor is the smallest of some observed values, which rises again slowly.
+type floor struct {
+	value     float64
 	updatedAt time.Duration
 }
 
-// allow reports whether one more request may be sent, given the rate at which the process
-// has lately sent requests.
-func (s *stepLimit) allow(now time.Duration, rate float64) bool {
-	perSecond := stepGrowth * rate
-	limit := max(1, perSecond*stepInterval.Seconds())
-	s.budget = min(limit, s.budget+perSecond*(now-s.updatedAt).Seconds())
-	s.updatedAt = now
-	return s.budget >= 1
+func (f *floor) observe(now time.Duration, value float64) {
+	if value = max(1, value); f.value == 0 || value < f.at(now) {
+		f.value, f.updatedAt = value, now
+	}
 }
 
-func (s *stepLimit) take() { s.budget-- }
+// at returns the minimum; 0 if nothing has been observed.
+func (f *floor) at(now time.Duration) float64 {
+	return f.value * math.Exp2(float64(now-f.updatedAt)/float64(floorRecovery))
+}
 
 const (
 	// maxPromptTime is the time in which an engine processes a prompt token until it has been
 	// observed: a slow engine processes 20 tokens a millisecond.
 	maxPromptTime = 50 * time.Microsecond
-	// promptTimeRecovery is the time in which the observed minimum doubles, so that it
-	// follows engines that become slower.
-	promptTimeRecovery = time.Minute
 	// minPromptSample is the smallest prompt whose time is used: in shorter ones, the fixed
 	// part of the time to the first byte prevails.
 	minPromptSample = 1000
@@ -75,28 +65,21 @@
 
 // PromptTime estimates the time that an unloaded engine takes for a prompt, from the smallest
 // expected time of each token in choices of targets.
-type PromptTime struct {
-	perToken  time.Duration
-	updatedAt time.Duration
-}
+type PromptTime struct{ perToken floor }
 
 // Observe records the expected time to the first byte of a request with a prompt of the given
 // number of tokens to process.
 func (p *PromptTime) Observe(now time.Duration, tokens float64, expected time.Duration) {
 	if tokens >= minPromptSample {
-		p.perToken, p.updatedAt = min(p.current(now), time.Duration(float64(expected)/tokens)), now
+		p.perToken.observe(now, float64(expected)/tokens)
 	}
 }
 
 // Of returns the time that a prompt takes.
 func (p *PromptTime) Of(now time.Duration, tokens float64) time.Duration {
-	return time.Duration(tokens * float64(p.current(now)))
-}
-
-func (p *PromptTime) current(now time.Duration) time.Duration {
-	if p.perToken == 0 {
-		return maxPromptTime
+	perToken := p.perToken.at(now)
+	if perToken == 0 || perToken > float64(maxPromptTime) {
+		perToken = float64(maxPromptTime)
 	}
-	growth := math.Exp2(float64(now-p.updatedAt) / float64(promptTimeRecovery))
-	return time.Duration(min(float64(maxPromptTime), growth*float64(p.perToken)))
+	return time.Duration(tokens * perToken)
 }
--- a/pkg/loadshed/queue.go
+++ b/pkg/loadshed/queue.go
@@ -45,6 +45,16 @@
 // latestSend returns the time after which sending the request is of no use.
 func (t *Ticket) latestSend() time.Duration { return t.Deadline - t.Lead }
 
+// objectiveWait returns the longest expected wait with which a request is accepted into the queue,
+// so that its first byte comes within the objective. A longer queue would serve the same number of
+// requests, and all of them late. A request that has been accepted may be sent later than that.
+func (t *Ticket) objectiveWait() time.Duration {
+	if t.Objective == 0 {
+		return t.latestSend()
+	}
+	return max(0, t.Objective-t.Lead)
+}
+
 // cost returns the request's cost relative to the weight of its account.
 func (t *Ticket) cost() float64 { return max(1, t.Tokens) / t.AccountWeight }
 
@@ -96,7 +106,6 @@
 	sequence uint64
 	// sends measures all requests sent to the service.
 	sends meter
-	step  stepLimit
 	// owed is the number of requests sent since the last one of a less urgent class that had
 	// to wait.
 	owed int
@@ -125,9 +134,12 @@
 }
 
 // MustWait reports whether a new request of an account may not be sent before the waiting ones,
-// because some of them are at least as urgent. Requests of accounts that use more than their share
+// because some of them are at least as urgent, or because first bytes come late. Requests of accounts that use more than their share
 // of a class don't hold back those of the others in that class.
 func (q *Queue) MustWait(now time.Duration, priority int, account string) bool {
+	if !q.class(priority).pace.allow(now) {
+		return true
+	}
 	for _, c := range q.classes {
 		switch {
 		case c.waiting == 0, c.priority > priority:
@@ -150,6 +162,28 @@
 	return q.class(priority).usage.isExcessive(now, account)
 }
 
+// RecordFirstByte records that a request that was sent within the limit of its class at a time
+// waited for its first byte, beyond the time of its own prompt. limit is the limit of its class, or
+// the soft limit. What unloaded engines take as well does not count as a wait.
+func (q *Queue) RecordFirstByte(now, sentAt time.Duration, priority int, waited, limit time.Duration) {
+	c := q.class(priority)
+	c.pace.recordAnswer(now)
+	c.shortestWait.observe(now, float64(waited))
+	waited -= time.Duration(min(float64(limit), c.shortestWait.at(now)))
+	c.pace.observe(now, sentAt, float64(waited)/float64(limit))
+}
+
+// RecordAnswer records the answer to a request of which it is not known how long it waited.
+func (q *Queue) RecordAnswer(now time.Duration, priority int) {
+	q.class(priority).pace.recordAnswer(now)
+}
+
+// RecordNoRoom records that a request that was sent at a time was rejected by a full engine, or ran
+// out of time there.
+func (q *Queue) RecordNoRoom(now, sentAt time.Duration, priority int) {
+	q.class(priority).pace.observe(now, sentAt, maxRatio)
+}
+
 // RecordSent records that a request was sent that had not waited.
 func (q *Queue) RecordSent(now time.Duration, t *Ticket) {
 	q.class(t.Priority).direct.add(now, 1)
@@ -157,8 +191,11 @@
 }
 
 func (q *Queue) countSent(now time.Duration, t *Ticket) {
+	c := q.class(t.Priority)
 	q.sends.add(now, 1)
-	q.class(t.Priority).usage.add(now, t.Account, t.AccountWeight, max(1, t.Tokens))
+	c.sends.add(now, 1)
+	c.pace.take(now)
+	c.usage.add(now, t.Account, t.AccountWeight, max(1, t.Tokens))
 	q.servedPriority = t.Priority
 	if q.lowerClass(t.Priority) == nil {
 		q.owed = 0
@@ -188,7 +225,7 @@
 	ahead, rate := q.ahead(w), q.rateOf(now, c)
 	wait := time.Duration(float64(ahead) / rate * float64(time.Second))
 	refusal := &Refusal{ExpectedWait: wait, Ahead: ahead, Rate: rate}
-	if now+wait >= t.latestSend() {
+	if now+wait >= t.latestSend() || wait > t.objectiveWait() {
 		refusal.Reason = ReasonWait
 	} else if q.waiting >= q.maxWaiting && !q.displace(w) {
 		refusal.Reason = ReasonFull
@@ -286,12 +323,11 @@
 // reports whether there was room; it has to take the room.
 func (q *Queue) Release(now time.Duration, canSend func(*Waiter) bool) []*Waiter {
 	var released []*Waiter
-	for q.waiting > 0 && q.step.allow(now, max(defaultRate, q.sends.rate(now))) {
-		w := q.next(canSend)
+	for q.waiting > 0 {
+		w := q.next(now, canSend)
 		if w == nil {
 			break
 		}
-		q.step.take()
 		w.left = true
 		w.class.sent(w)
 		q.waiting--
@@ -302,18 +338,22 @@
 }
 
 // next returns the next waiter for which there is room, or nil.
-func (q *Queue) next(canSend func(*Waiter) bool) *Waiter {
+func (q *Queue) next(now time.Duration, canSend func(*Waiter) bool) *Waiter {
 	if q.owed >= lowerShare-1 {
 		if w := q.firstOfLower(canSend); w != nil {
 			return w
 		}
 	}
 	for _, c := range q.classes {
+		if c.waiting == 0 || !c.pace.allow(now) {
+			continue
+		}
 		for _, w := range c.heads(maxProbes) {
 			if canSend(w) {
 				return w
 			}
 		}
+		c.pace.begin(now, c.sends.rate(now))
 	}
 	return nil
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -86,14 +86,14 @@
 	a.tracked.RecordFirstByte(now)
 	if !a.isFirstByteRecorded {
 		a.isFirstByteRecorded = true
-		q.relay.overload.roomAppeared(q.service)
+		q.relay.overload.recordFirstByte(q, a, now)
 	}
 }
 
 // endTracked records that the attempt no longer uses its target.
 func (q *request) endTracked(a *attempt, result balance.Result) {
 	a.tracked.End(q.relay.Now(), result)
-	q.relay.overload.roomAppeared(q.service)
+	q.relay.overload.recordEnd(q, a, result)
 }
 
 // streamPosition returns what the caller has of the stream.
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -68,27 +68,6 @@
 	return queue
 }
 
-// roomAppeared makes the waiting requests of a service look for room.
-func (o *overloadControl) roomAppeared(service string) {
-	if o == nil {
-		return
-	}
-	o.mu.RLock()
-	queue := o.queues[service]
-	o.mu.RUnlock()
-	if queue != nil && queue.length.Load() > 0 {
-		queue.wakeUp()
-	}
-}
-
-// wakeUp makes the goroutine that releases the waiting requests look for room.
-func (c *capacityQueue) wakeUp() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
 // capacityQueue holds the requests of a service that wait for capacity of its engines.
 type capacityQueue struct {
 	control *overloadControl
@@ -107,6 +86,14 @@
 	isReleasing bool
 }
 
+// wakeUp makes the goroutine that releases the waiting requests look for room.
+func (c *capacityQueue) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 // waitingRequest is a request that waits for capacity. Only the goroutine that holds the queue's
 // lock uses its request.
 type waitingRequest struct {
@@ -179,6 +166,7 @@
 		return choice, refusal
 	}
 	q.admitted = q.relay.Balancer.Begin(now, q.balanceRequest(), &choice)
+	q.isAdmitted = true
 	c.promptTime.Observe(now, choice.PrefillTokens, choice.ExpectedTTFB)
 	return choice, nil
 }
@@ -281,6 +269,8 @@
 	if refusal != nil {
 		return capacity{refusal: refusal}, refusal.reason != balance.ReasonOverload
 	}
+	// Engines delay requests beyond the limit of their class, so that their waits mean nothing.
+	r.q.isAdmitted = !waiter.Relaxed
 	c.meters.count(waiter.Priority, "sent")
 	c.meters.waited.RecordDuration(now - waiter.EnqueuedAt)
 	c.control.relay.Log.Log(eventlog.OverloadAdmitted, "request_id", r.q.meta.ID, "service", c.service, "class", waiter.Priority, "account", waiter.Account,
--- /dev/null
+++ b/pkg/relay/overloadfeedback.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/balance"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/loadshed"
+)
+
+// recordFirstByte records how long a request has waited for its first byte, and makes the waiting
+// requests of its service look for room. The first byte of a response that is not a stream comes
+// with its last one, so that it shows nothing of a wait.
+func (o *overloadControl) recordFirstByte(q *request, a *attempt, now time.Duration) {
+	c := o.existingQueue(q.service)
+	if c == nil {
+		return
+	}
+	if a.number == 1 && q.isAdmitted {
+		c.mu.Lock()
+		if q.route.Kind == fleet.Stream {
+			waited := now - a.startedAt - c.promptTime.Of(now, a.choice.PrefillTokens)
+			c.queue.RecordFirstByte(now, a.startedAt, q.priority(), waited, loadshed.QueueTarget(q.class(), c.classes.classes))
+		} else {
+			c.queue.RecordAnswer(now, q.priority())
+		}
+		c.mu.Unlock()
+	}
+	c.lookForRoom()
+}
+
+// recordEnd records that a request has left its target, and whether that had no room for it.
+func (o *overloadControl) recordEnd(q *request, a *attempt, result balance.Result) {
+	c := o.existingQueue(q.service)
+	if c == nil {
+		return
+	}
+	now := o.relay.Now()
+	isFull := result == balance.Refused && !a.responseMeta.Leaving
+	isOutOfTime := result == balance.Cancelled && q.remaining() <= 0
+	if a.number == 1 && q.isAdmitted && !a.isFirstByteRecorded && (isFull || isOutOfTime) {
+		c.mu.Lock()
+		c.queue.RecordNoRoom(now, a.startedAt, q.priority())
+		c.mu.Unlock()
+	}
+	c.lookForRoom()
+}
+
+// existingQueue returns the queue of a service, or nil if there is none.
+func (o *overloadControl) existingQueue(service string) *capacityQueue {
+	if o == nil {
+		return nil
+	}
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.queues[service]
+}
+
+// lookForRoom makes the waiting requests look for room.
+func (c *capacityQueue) lookForRoom() {
+	if c.length.Load() > 0 {
+		c.wakeUp()
+	}
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -182,6 +182,9 @@
 	overloadLimit time.Duration
 	// admitted is the request at its first target, if overload control has chosen that.
 	admitted *balance.TrackedRequest
+	// isAdmitted is set while overload control has to learn how long the request waits at its
+	// first target.
+	isAdmitted bool
 }
 
 // ServeHTTP implements http.Handler.
