--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		a.abandon(errSuperseded)
-		a.tracked.End(d.q.relay.Now(), balance.Cancelled)
+		d.q.endTracked(a, balance.Cancelled)
 		d.q.endVersion(a, canary.NoEvidence)
 	}
 }
@@ -157,7 +157,7 @@
 	if q.callerConnClosed() {
 		q.handleDisconnect(&attempt{})
 	}
-	choice, refusal := q.chooseTarget(d.excluded, d.allowed)
+	choice, refusal := q.chooseWithCapacity(d.ctx, d.excluded, d.allowed)
 	for refusal != nil && !refusal.permanent && d.mayChooseLater() && q.waitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
 		clear(d.excluded)
@@ -203,7 +203,7 @@
 	}
 	q.reportCrashEvidence(a, result)
 	a.cancel(nil)
-	a.tracked.End(q.relay.Now(), balanceResult(result))
+	q.endTracked(a, balanceResult(result))
 	q.endVersion(a, q.versionResult(a, result))
 	q.lastTarget = a.choice.Target.ID
 	q.mayHaveRun = q.mayHaveRun || result.mayHaveRun(a)
@@ -316,7 +316,7 @@
 	a.endedBy = errCallerLeft
 	q.mayHaveRun = true
 	q.logFailure(a, callerDisconnected)
-	a.tracked.End(q.relay.Now(), balance.Cancelled)
+	q.endTracked(a, balance.Cancelled)
 	q.endVersion(a, canary.NoEvidence)
 	q.handleDisconnect(a)
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -89,12 +89,17 @@
 	Processes func() int
 	// Retries limits the requests that are sent more than once.
 	Retries *RetryBudgets
+	// OverloadControl makes requests wait, or refuses them, while the engines of their service
+	// can't serve them in time.
+	OverloadControl bool
 }
 
 // Relay is the http.Handler for callers.
 type Relay struct {
 	Config
 	instruments instruments
+	// overload holds the requests that wait for capacity; nil without overload control.
+	overload *overloadControl
 }
 
 // New returns a Relay with the given dependencies.
@@ -105,7 +110,11 @@
 	if config.OnEnded == nil {
 		config.OnEnded = func(fleet.Boot) {}
 	}
-	return &Relay{Config: config, instruments: newInstruments(config.Metrics)}
+	relay := &Relay{Config: config, instruments: newInstruments(config.Metrics)}
+	if config.OverloadControl {
+		relay.overload = newOverloadControl(relay)
+	}
+	return relay
 }
 
 // callerConnKey is the context key of the caller's connection.
@@ -173,6 +182,14 @@
 	firstByte     time.Duration
 	// versionTurn is what a rollout decided for the next attempt, if that goes to the new version.
 	versionTurn VersionTurn
+	// overloadLimit is the longest expected time to the first byte at which overload control
+	// lets the request be sent; 0 sets no limit.
+	overloadLimit time.Duration
+	// admitted is the request at its first target, if overload control has chosen that.
+	admitted *balance.TrackedRequest
+	// isAdmitted is set while overload control has to learn how long the request waits at its
+	// first target.
+	isAdmitted bool
 }
 
 // ServeHTTP implements http.Handler.
