Rollouts: tests of the relay and of the messages; a new leader doesn't revert for want of counts

Cause: a leader that has just started knows the state before it has heard all counts, and would take a version that is being switched to for one with too few runs. Change: that reason applies before the switch only. Tests: TestVersionRollout, TestRolloutNews, TestFleet, TestNext, TestCrashes are green.

--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -266,9 +266,13 @@
 	if !finding.IsFaulty && r.crashes.isFaulty() {
 		finding.IsFaulty, finding.IsSound, finding.Reason = true, false, ReasonCrashes
 	}
+	lacksRuns := finding.Reason == ReasonFewRuns || finding.Reason == ReasonNoTargets
 	switch {
 	case r.state != Running && r.state != Switching:
 		return finding, false
+	case r.state == Switching && lacksRuns:
+		// A new leader has not heard all counts yet. The one before had enough of them.
+		return finding, false
 	case finding.IsFaulty:
 		return finding, r.Raise(Reverted, finding.Reason)
 	case !isLeader || r.state == Switching:
