--- a/pkg/canary/order.go
+++ b/pkg/canary/order.go
@@ -45,15 +45,15 @@
 type State int
 
 const (
-	// Unknown: neither a peer nor the store has told whether the order has ended already.
+	// Unknown means that neither a peer nor the store has told whether the order has ended already.
 	Unknown State = iota
-	// Running: the new version gets part of the requests.
+	// Running means that the new version gets part of the requests.
 	Running
-	// Switching: all new requests go to the new version.
+	// Switching means that all new requests go to the new version.
 	Switching
-	// Reverted: the new version gets no more requests.
+	// Reverted means that the new version gets no more requests.
 	Reverted
-	// Complete: the store holds that the service has moved to the new version.
+	// Complete means that the store holds that the service has moved to the new version.
 	Complete
 )
 
--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -19,13 +19,13 @@
 type Use int
 
 const (
-	// AnyVersion: no rollout concerns the request.
+	// AnyVersion means that no rollout concerns the request.
 	AnyVersion Use = iota
-	// OldVersions: all versions but the new one.
+	// OldVersions allows all versions but the new one.
 	OldVersions
-	// NewVersionFirst: the new version, or another one if no target of it can be used.
+	// NewVersionFirst allows the new version, or another one if no target of it can be used.
 	NewVersionFirst
-	// OldVersionsFirst: all versions but the new one, or the new one if no other has a target.
+	// OldVersionsFirst allows all versions but the new one, or the new one if no other has a target.
 	OldVersionsFirst
 )
 
@@ -40,15 +40,15 @@
 type Result int
 
 const (
-	// NotSent: the target didn't get the request.
+	// NotSent means that the target didn't get the request.
 	NotSent Result = iota
-	// NoEvidence: the target got the request, but its end is not to be held against it or in its favour.
+	// NoEvidence means that the end of the request is not to be held against the target or in its favour.
 	NoEvidence
-	// Refused: the target didn't run the request.
+	// Refused means that the target didn't run the request.
 	Refused
-	// Served: the target answered.
+	// Served means that the target answered.
 	Served
-	// Failed: the target is to blame for a missing, broken or invalid answer.
+	// Failed means that the target is to blame for a missing, broken or invalid answer.
 	Failed
 )
 
