--- a/pkg/balance/adaptive.go
+++ b/pkg/balance/adaptive.go
@@ -30,7 +30,8 @@
 		return s.backlog(now, stats.prefillRate, s.fleet.peers.Backlog)
 	}
 	fixedMS, _ := stats.streamDelays.coefficients()
-	return s.pendingBacklog(now, s.drainRate(now, stats.drainRate(now)), fromMilliseconds(fixedMS))
+	rate := s.drainRate(now, stats.drainRate(now)) / s.fleet.pace.current(now)
+	return s.pendingBacklog(now, rate, fromMilliseconds(fixedMS))
 }
 
 // estimate is the expected delay of a request at a target.
@@ -39,6 +40,8 @@
 	queuedTokens float64
 	// rate is the target's drain rate in tokens per millisecond.
 	rate float64
+	// pace is the factor by which the target's work takes longer than usual.
+	pace float64
 	// workMS is the time that the queued work and the request's own take at that rate.
 	// It is 0 if the wait for a slot is longer, so that the delay shows nothing of the rate.
 	workMS float64
@@ -51,7 +54,7 @@
 // estimateDelay returns the expected delay of a prompt that adds work tokens to a target's
 // queue.
 func (b *Balancer) estimateDelay(c *candidate, stats *serviceStats, isBuffered bool, work float64) estimate {
-	e := estimate{rate: c.queue.rate, queuedTokens: c.queue.tokens()}
+	e := estimate{rate: c.queue.rate, queuedTokens: c.queue.tokens(), pace: c.queue.usualRate / c.queue.rate}
 	fixedMS, factor := stats.delays(isBuffered).coefficients()
 	workMS := (e.queuedTokens + work) / e.rate
 	delayMS := fixedMS + factor*workMS
@@ -61,7 +64,7 @@
 	if slotMS <= delayMS {
 		e.workMS = workMS
 	}
-	e.cost = max(fromMilliseconds(slotMS), fromMilliseconds(fixedMS+(1+queueExtraWeight)*c.queue.filledTime()+work/e.rate))
+	e.cost = max(fromMilliseconds(slotMS), fromMilliseconds(fixedMS+(1+queueExtraWeight)*c.queue.filledTime()+c.queue.workCost(work)))
 	return e
 }
 
@@ -74,9 +77,10 @@
 }
 
 // learnDelay learns from the time to a request's first byte, or from the time after
-// which it was cancelled without one.
+// which it was cancelled without one. Work on a machine that is slow at either end of it
+// shows nothing of the usual rate.
 func (t *TrackedRequest) learnDelay(now time.Duration) {
-	if t.workMS <= 0 {
+	if t.workMS <= 0 || max(t.pace, t.state.fleet.pace.current(now)) >= minReportedPace {
 		return
 	}
 	stats := t.balancer.serviceStats(t.service)
--- a/pkg/balance/liveness.go
+++ b/pkg/balance/liveness.go
@@ -35,6 +35,8 @@
 	peers TargetLoad
 	// peerDrain is the sum of the peers' samples of the target's drain rate.
 	peerDrain decayedSums
+	// pace is the target's latest figure that any process is known to have received.
+	pace observedPace
 	// ownPending is the number of this process's requests without a first byte.
 	ownPending int
 	// progressAt is the time of the latest bytes that any process is known to have
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -35,6 +35,9 @@
 	// Drain holds the process's samples of the target's drain rate. Not every report
 	// holds them.
 	Drain DrainSums
+	// Pace is the latest figure of a target on which work takes longer than usual; zero if
+	// there is none.
+	Pace Pace
 }
 
 // peerReport holds the loads that a peer reported.
@@ -82,7 +85,11 @@
 // localLoad returns the load that this process places on a run of a target.
 func (b *Balancer) localLoad(now time.Duration, key TargetKey, s *targetState) TargetLoad {
 	load := TargetLoad{InFlight: s.inFlight, Pending: s.pending, Backlog: b.reportedBacklog(now, s), ProgressAge: s.progressAge(now)}
-	if b.reportsDrain(key) && b.isAdaptive(b.serviceStats(s.service)) {
+	if !b.isAdaptive(b.serviceStats(s.service)) {
+		return load
+	}
+	load.Pace = s.ownPace.reported(now)
+	if b.reportsDrain(key) {
 		load.Drain = s.drain.current(now).reported()
 	}
 	return load
@@ -111,7 +118,9 @@
 	for _, peer := range peers {
 		report := b.peerLoads[peer]
 		for key, load := range report.loads {
-			loads[key] = loads[key].plus(load, now-report.receivedAt)
+			if sum := loads[key].plus(load, now-report.receivedAt); sum != (TargetLoad{}) {
+				loads[key] = sum
+			}
 		}
 		for key, drain := range report.drains {
 			if sums := drain.current(now).reported(); b.reportsDrain(key) && !sums.isZero() {
@@ -127,7 +136,7 @@
 // plus returns the sum of two loads on one target, of which the other one was reported
 // some time ago.
 func (l TargetLoad) plus(other TargetLoad, reportAge time.Duration) TargetLoad {
-	sum := TargetLoad{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Backlog: l.Backlog + other.Backlog, ProgressAge: l.ProgressAge, Drain: l.Drain}
+	sum := TargetLoad{InFlight: l.InFlight + other.InFlight, Pending: l.Pending + other.Pending, Backlog: l.Backlog + other.Backlog, ProgressAge: l.ProgressAge, Drain: l.Drain, Pace: l.Pace.younger(other.Pace, reportAge)}
 	if age := other.ProgressAge + reportAge; other.ProgressAge > 0 && age <= maxReportedProgressAge && (sum.ProgressAge == 0 || age < sum.ProgressAge) {
 		sum.ProgressAge = age
 	}
@@ -152,6 +161,9 @@
 		if load.ProgressAge > 0 {
 			f.recordProgress(now - load.ProgressAge)
 		}
+		if load.Pace.Factor > 0 {
+			f.pace.record(now-load.Pace.Age, load.Pace.Factor)
+		}
 		f.addPeer(load, 1)
 	}
 	b.subtractPeer(now, peer, loads)
--- a/pkg/balance/queues.go
+++ b/pkg/balance/queues.go
@@ -69,14 +69,17 @@
 
 // queueEstimate is what a candidate's queue is expected to be, if learned delays apply.
 type queueEstimate struct {
-	// rate is the target's drain rate in tokens per millisecond.
-	rate float64
+	// usualRate is the target's drain rate in tokens per millisecond, and rate the one now.
+	usualRate, rate float64
 	// own and peers are the tokens that this process and its peers know to be queued, and
 	// drained those of the peers that the target has processed since their reports.
 	own, peers, drained float64
 	// unseen is the number of tokens that the peers are expected to have sent since their
 	// reports, and unseenShare its relation to the largest of all candidates, up to 1.
 	unseen, unseenShare float64
+	// meanTokens is the mean number of tokens of a request, and meanRate the mean rate of
+	// all candidates.
+	meanTokens, meanRate float64
 }
 
 // tokens returns the expected number of queued tokens.
@@ -91,9 +94,17 @@
 // Unlike that of tokens, the result is the same for all targets that peers probably choose.
 func (q *queueEstimate) filledTime() float64 { return q.reportedTime() + q.unseen/q.rate }
 
+// workCost returns the time in milliseconds that a request's own tokens cost in the score.
+// Only requests of the mean size take a target's rate into account in full. Otherwise all
+// short prompts would go to the few targets that are slow.
+func (q *queueEstimate) workCost(tokens float64) float64 {
+	return q.meanTokens/q.rate + (tokens-q.meanTokens)/q.meanRate
+}
+
 // estimateQueue estimates a target's queue, given the mean age of the peers' reports.
 func (s *targetState) estimateQueue(now, age time.Duration, serviceRate float64, fixedDelay time.Duration) queueEstimate {
-	q := queueEstimate{rate: s.drainRate(now, serviceRate), peers: s.fleet.peers.Backlog}
+	q := queueEstimate{usualRate: s.drainRate(now, serviceRate), peers: s.fleet.peers.Backlog}
+	q.rate = q.usualRate / s.fleet.pace.current(now)
 	q.own = s.pendingBacklog(now, q.rate, fixedDelay)
 	q.drained = q.rate * milliseconds(age) * (q.peers + 1) / (q.own + q.peers + 1)
 	return q
@@ -105,12 +116,12 @@
 func (b *Balancer) estimateQueues(now time.Duration, stats *serviceStats, candidates []candidate) {
 	age, serviceRate := b.reportAge(now), stats.drainRate(now)
 	fixedMS, _ := stats.streamDelays.coefficients()
-	meanTokens, capacity, inFlight := stats.meanWork.mean(), 0.0, 0
+	meanTokens, rates, inFlight := stats.meanWork.mean(), 0.0, 0
 	slopes := make([]slope, len(candidates))
 	for i := range candidates {
 		c := &candidates[i]
 		c.queue = c.state.estimateQueue(now, age, serviceRate, fromMilliseconds(fixedMS))
-		capacity += c.queue.rate * milliseconds(age)
+		rates += c.queue.rate
 		inFlight += c.state.fleet.peers.InFlight
 		slopes[i] = slope{
 			start:       (1+queueExtraWeight)*c.queue.reportedTime() + meanTokens/c.queue.rate,
@@ -120,7 +131,11 @@
 	// By Little's law, the peers dispatch as many requests during their mean time in flight
 	// as they have in flight.
 	unseen := meanTokens * float64(inFlight) * float64(age) / float64(stats.serviceTime)
-	setUnseen(candidates, slopes, fillLevel(slopes, min(unseen, capacity)))
+	setUnseen(candidates, slopes, fillLevel(slopes, min(unseen, rates*milliseconds(age))))
+	for i := range candidates {
+		q := &candidates[i].queue
+		q.meanTokens, q.meanRate = meanTokens, rates/float64(len(candidates))
+	}
 }
 
 // setUnseen sets the unseen work of the candidates, given the level up to which it raises
--- a/pkg/balance/speed.go
+++ b/pkg/balance/speed.go
@@ -20,11 +20,11 @@
 func setSpeedClasses(candidates []candidate) {
 	mean := 0.0
 	for i := range candidates {
-		mean += candidates[i].queue.rate / float64(len(candidates))
+		mean += candidates[i].queue.usualRate / float64(len(candidates))
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		exact := classesPerDoubling * math.Log2(c.queue.rate/mean)
+		exact := classesPerDoubling * math.Log2(c.queue.usualRate/mean)
 		if math.Abs(exact-float64(c.state.speedClass)) > classHysteresis {
 			c.state.speedClass = min(max(int(math.Round(exact)), -maxSpeedClass), maxSpeedClass)
 		}
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -60,6 +60,8 @@
 	// class of the rate among the targets of its service.
 	drain      decayedSums
 	speedClass int
+	// ownPace is the latest figure of how long work takes that this process received.
+	ownPace observedPace
 
 	load           call.Load
 	loadReportedAt time.Duration
@@ -193,6 +195,11 @@
 	defer b.mu.Unlock()
 	s := b.targetState(boot)
 	s.load, s.loadReportedAt = load, now
+	if load.WorkPercent > 0 {
+		s.ownPace.record(now, load.WorkPercent/100)
+		s.fleet.pace.record(now, load.WorkPercent/100)
+		b.serviceStats(s.service).reportsPace = true
+	}
 }
 
 // RecordVersion records that a target serves a weights version.
--- a/pkg/balance/tracked.go
+++ b/pkg/balance/tracked.go
@@ -25,10 +25,11 @@
 	isBuffered   bool
 	firstByteAt  time.Duration
 	// workMS and drainTokens are the work ahead of the first byte, in milliseconds and in
-	// tokens, as estimated at dispatch. otherDelay is the part of expectedTTFB that doesn't
+	// tokens, and pace the factor by which it takes longer than usual, as estimated at dispatch. otherDelay is the part of expectedTTFB that doesn't
 	// depend on the target's queue.
 	workMS      float64
 	drainTokens float64
+	pace        float64
 	otherDelay  time.Duration
 }
 
@@ -41,6 +42,7 @@
 	t := &TrackedRequest{balancer: b, state: s, service: req.Service, startedAt: now, prefillTokens: choice.PrefillTokens}
 	t.expectedTTFB, t.isPrompt, t.isBuffered = choice.ExpectedTTFB, req.Model != "", req.IsBuffered
 	t.workMS, t.drainTokens = choice.estimate.workMS, choice.estimate.queuedTokens+choice.PrefillTokens
+	t.pace = choice.estimate.pace
 	t.otherDelay = choice.ExpectedTTFB - choice.estimate.delay
 	if choice.Import == ImportFromStore {
 		t.importStore = choice.ImportAddress
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -116,6 +116,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkPercent is how long work takes on the target's machine now, in percent of the
+	// usual time; 0 if it was not sent.
+	WorkPercent float64
 }
 
 // Codec converts between headers on the wire and the types of this package.
--- a/pkg/gossip/load_test.go
+++ b/pkg/gossip/load_test.go
@@ -31,6 +31,13 @@
 		So(m.TargetLoads[7], ShouldResemble, load)
 		So(proto.Size((&Message{}).state()), ShouldEqual, 0)
 	})
+	Convey("The pace of a slow target is sent in percent, with its age, and that of others is not", t, func() {
+		slow := balance.TargetLoad{InFlight: 1, Pace: balance.Pace{Factor: 2.5, Age: 31 * time.Millisecond}}
+		m, err := decode(encode(slow))
+		So(err, ShouldBeNil)
+		So(m.TargetLoads[7].Pace, ShouldResemble, balance.Pace{Factor: 2.5, Age: 40 * time.Millisecond})
+		So(len(encode(slow)), ShouldEqual, len(encode(balance.TargetLoad{InFlight: 1}))+5)
+	})
 	Convey("The samples of a target's drain rate are rounded down to 64 tokens and 4 ms", t, func() {
 		m, err := decode(encode(balance.TargetLoad{InFlight: 1, Drain: balance.DrainSums{Tokens: 6500, MS: 103}}))
 		So(err, ShouldBeNil)
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -143,6 +143,7 @@
 		state.Work = append(state.Work, &gossippb.Work{
 			Target: uint32(target), Running: uint32(load.InFlight), Unstarted: uint32(load.Pending), Backlog: uint32(load.Backlog),
 			Progress: encodeAge(load.ProgressAge), DrainedTokens: uint32(load.Drain.Tokens / drainTokensUnit), DrainedMs: uint32(load.Drain.MS / drainMSUnit),
+			Slow: uint32(math.Round(max(0, load.Pace.Factor-1) * 100)), SlowAge: encodeAge(load.Pace.Age),
 		})
 	}
 	for _, a := range m.AnnouncedVersions {
@@ -182,6 +183,13 @@
 	return uint32((age + ageUnit - 1) / ageUnit)
 }
 
+func decodePace(w *gossippb.Work) balance.Pace {
+	if w.GetSlow() == 0 {
+		return balance.Pace{}
+	}
+	return balance.Pace{Factor: 1 + float64(w.GetSlow())/100, Age: time.Duration(w.GetSlowAge()) * ageUnit}
+}
+
 func encodeBoots(boots []fleet.Boot) []*gossippb.TargetRun {
 	var runs []*gossippb.TargetRun
 	for _, boot := range boots {
@@ -302,6 +310,7 @@
 			InFlight: int(w.GetRunning()), Pending: int(w.GetUnstarted()), Backlog: float64(w.GetBacklog()),
 			ProgressAge: time.Duration(w.GetProgress()) * ageUnit,
 			Drain:       balance.DrainSums{Tokens: float64(w.GetDrainedTokens()) * drainTokensUnit, MS: float64(w.GetDrainedMs()) * drainMSUnit},
+			Pace:        decodePace(w),
 		}
 	}
 	for _, n := range state.GetNamed() {
