--- a/pkg/loadshed/fleet_test.go
+++ b/pkg/loadshed/fleet_test.go
@@ -237,9 +237,9 @@
 }
 
 func (f *simFleet) release(p *simProcess) {
-	for w, refusal := range p.queue.Expire(f.now) {
-		f.refuse(p.waiting[w], refusal.RetryAfter)
-		delete(p.waiting, w)
+	for _, expired := range p.queue.Expire(f.now) {
+		f.refuse(p.waiting[expired.Waiter], expired.Refusal.RetryAfter)
+		delete(p.waiting, expired.Waiter)
 	}
 	for _, w := range p.queue.Release(f.now, func(w *Waiter) bool {
 		p.waiting[w].relaxed = w.Relaxed
--- a/pkg/loadshed/queue.go
+++ b/pkg/loadshed/queue.go
@@ -294,12 +294,18 @@
 	return true
 }
 
-// Expire removes and returns the waiters that can't be served in time any more, with the reason
-// of their refusal.
-func (q *Queue) Expire(now time.Duration) map[*Waiter]*Refusal {
-	refusals := map[*Waiter]*Refusal{}
+// Expired is a waiter that was removed, and why it is refused.
+type Expired struct {
+	Waiter  *Waiter
+	Refusal *Refusal
+}
+
+// Expire removes and returns the waiters that can't be served in time any more, the most urgent
+// first, and those that lost their place to others.
+func (q *Queue) Expire(now time.Duration) []Expired {
+	var expired []Expired
 	for _, w := range q.displaced {
-		refusals[w] = &Refusal{Reason: ReasonDisplaced}
+		expired = append(expired, Expired{w, &Refusal{Reason: ReasonDisplaced}})
 	}
 	q.displaced = nil
 	for _, c := range q.classes {
@@ -308,15 +314,18 @@
 				if now < w.latestSend() {
 					break
 				}
-				refusals[w] = &Refusal{Reason: ReasonExpired}
+				expired = append(expired, Expired{w, &Refusal{Reason: ReasonExpired}})
 			}
 		}
 	}
-	for w, refusal := range refusals {
-		q.Leave(w)
-		refusal.Rate, refusal.RetryAfter = q.rateOf(now, w.class), q.retryAfter(now, w)
+	slices.SortFunc(expired, func(a, b Expired) int {
+		return cmp.Or(cmp.Compare(a.Waiter.Priority, b.Waiter.Priority), cmp.Compare(a.Waiter.sequence, b.Waiter.sequence))
+	})
+	for _, e := range expired {
+		q.Leave(e.Waiter)
+		e.Refusal.Rate, e.Refusal.RetryAfter = q.rateOf(now, e.Waiter.class), q.retryAfter(now, e.Waiter)
 	}
-	return refusals
+	return expired
 }
 
 // Release removes and returns waiters that are sent now. canSend tries to send a waiter and
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -241,9 +241,9 @@
 			c.end(waiter, capacity{refusal: stoppingRefusal()})
 		}
 	}
-	for waiter, shed := range c.queue.Expire(now) {
-		r := c.waiting[waiter]
-		c.end(waiter, capacity{refusal: c.refusal(r, shed, now-waiter.EnqueuedAt)})
+	for _, expired := range c.queue.Expire(now) {
+		waiter := expired.Waiter
+		c.end(waiter, capacity{refusal: c.refusal(c.waiting[waiter], expired.Refusal, now-waiter.EnqueuedAt)})
 	}
 	results := map[*loadshed.Waiter]capacity{}
 	released := c.queue.Release(now, func(waiter *loadshed.Waiter) bool {
