--- a/pkg/loadshed/queue_test.go
+++ b/pkg/loadshed/queue_test.go
@@ -39,6 +39,23 @@
 	})
 }
 
+// TestCalibration guards against requests that are refused while engines are idle because the expected
+// times are too high.
+func TestCalibration(t *testing.T) {
+	Convey("Expected times that are too high are corrected within a bound, others are not", t, func() {
+		var c Calibration
+		c.Observe(0, 100*time.Millisecond, time.Millisecond)
+		So(c.Factor(0), ShouldEqual, 1)
+		c.Observe(0, 900*time.Millisecond, 499*time.Millisecond)
+		So(c.Factor(0), ShouldAlmostEqual, 0.5)
+		c.Observe(0, time.Hour, time.Millisecond)
+		So(c.Factor(0), ShouldEqual, minCalibration)
+		c = Calibration{}
+		c.Observe(0, time.Second, time.Minute)
+		So(c.Factor(0), ShouldEqual, 1)
+	})
+}
+
 // TestMinimumShare guards against a class that starves because more urgent requests use all capacity,
 // whether these have waited or not.
 func TestMinimumShare(t *testing.T) {
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -81,6 +81,7 @@
 	queue      *loadshed.Queue
 	waiting    map[*loadshed.Waiter]*waitingRequest
 	promptTime loadshed.PromptTime
+	estimates  loadshed.Calibration
 	classes    serviceClasses
 	// isReleasing is set while a goroutine releases the waiting requests.
 	isReleasing bool
@@ -213,6 +214,7 @@
 	case c.isStopping():
 		return balance.Choice{}, stoppingRefusal()
 	default:
+		c.meters.countRefusal(waiter.Priority, loadshed.ReasonExpired)
 		return balance.Choice{}, &refusal{status: http.StatusServiceUnavailable, reason: loadshed.ReasonExpired, retryAfter: notRunRetryAfter}
 	}
 }
@@ -235,16 +237,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.control.relay.Now()
+	for _, expired := range c.queue.Expire(now) {
+		waiter := expired.Waiter
+		c.end(waiter, capacity{refusal: c.refusal(c.waiting[waiter], expired.Refusal, now-waiter.EnqueuedAt)})
+	}
 	if c.isStopping() {
 		for waiter := range c.waiting {
 			c.queue.Leave(waiter)
 			c.end(waiter, capacity{refusal: stoppingRefusal()})
 		}
 	}
-	for _, expired := range c.queue.Expire(now) {
-		waiter := expired.Waiter
-		c.end(waiter, capacity{refusal: c.refusal(c.waiting[waiter], expired.Refusal, now-waiter.EnqueuedAt)})
-	}
 	results := map[*loadshed.Waiter]capacity{}
 	released := c.queue.Release(now, func(waiter *loadshed.Waiter) bool {
 		result, decided := c.offer(waiter, now)
--- a/pkg/relay/overloadfeedback.go
+++ b/pkg/relay/overloadfeedback.go
@@ -20,6 +20,7 @@
 		c.mu.Lock()
 		if q.route.Kind == fleet.Stream {
 			waited := now - a.startedAt - c.promptTime.Of(now, a.choice.PrefillTokens)
+			c.estimates.Observe(now, a.choice.ExpectedTTFB, now-a.startedAt)
 			c.queue.RecordFirstByte(now, a.startedAt, q.priority(), waited, loadshed.QueueTarget(q.class(), c.classes.classes))
 		} else {
 			c.queue.RecordAnswer(now, q.priority())
--- a/pkg/relay/overloadlimit.go
+++ b/pkg/relay/overloadlimit.go
@@ -77,7 +77,7 @@
 	case limit == 0:
 		limit = loadshed.SoftLimit(q.class())
 	}
-	scaled := time.Duration(fraction * c.control.limitFactor * float64(limit))
+	scaled := time.Duration(fraction * c.control.limitFactor / c.estimates.Factor(now) * float64(limit))
 	return scaled + c.promptTime.Of(now, float64(q.meta.PromptTokens))
 }
 
