Overload control: time of a stream after its first byte, Retry-After of full engines

Change: a waiting request of a stream route is sent early enough for the mean time that the route's streams take after their first byte. Requests that full engines rejected are told to return one after another as well.

Tests: pkg/relay passes with -race; TestOverloadControl three times.

--- a/pkg/loadshed/retry.go
+++ b/pkg/loadshed/retry.go
@@ -30,6 +30,12 @@
 	return patience/2 + time.Duration(q.random.Int64N(int64(patience/2)))
 }
 
+// RetryAfter returns the delay after which a request that engines have rejected can be served.
+func (q *Queue) RetryAfter(now time.Duration, t Ticket) time.Duration {
+	q.sequence++
+	return q.retryAfter(now, &Waiter{Ticket: t, sequence: q.sequence, class: q.class(t.Priority)})
+}
+
 // patience returns the longest delay that the caller of a refused request waits for.
 func (t *Ticket) patience(now time.Duration) time.Duration {
 	return max(0, t.Deadline-now) / callerPatience
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -61,7 +61,7 @@
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		queue = &capacityQueue{
 			control: o, service: q.service, queue: loadshed.NewQueue(maxWaiting, random),
-			waiting: map[*loadshed.Waiter]*waitingRequest{}, wake: make(chan struct{}, 1), meters: newOverloadMeters(o.relay.Metrics, q.service),
+			waiting: map[*loadshed.Waiter]*waitingRequest{}, restTimes: map[string]time.Duration{}, wake: make(chan struct{}, 1), meters: newOverloadMeters(o.relay.Metrics, q.service),
 		}
 		o.queues[q.service] = queue
 	}
@@ -83,6 +83,8 @@
 	promptTime loadshed.PromptTime
 	estimates  loadshed.Calibration
 	classes    serviceClasses
+	// restTimes holds the mean times from the first byte to the end of streams, by route.
+	restTimes map[string]time.Duration
 	// isReleasing is set while a goroutine releases the waiting requests.
 	isReleasing bool
 }
--- a/pkg/relay/overload_test.go
+++ b/pkg/relay/overload_test.go
@@ -187,6 +187,21 @@
 		So(charged, ShouldBeFalse)
 		So(len(world.received), ShouldBeLessThan, 20)
 	})
+	Convey("A request that waits in vain is refused in its time and returns later than the ones before it", t, func() {
+		world := runOverload(t, 10*time.Second, func(o *overloadWorld) {
+			for range 40 {
+				o.send(batchPath, "a", 4*time.Second)
+			}
+		})
+		delays := map[string]bool{}
+		for i := range world.answers {
+			if a := &world.answers[i]; isRefused(a) {
+				delays[a.retryAfter] = true
+				So(a.endedAt-a.startedAt, ShouldBeLessThan, 3*time.Second)
+			}
+		}
+		So(len(delays), ShouldBeGreaterThan, 10)
+	})
 	Convey("A stopping process refuses the waiting requests", t, func() {
 		var after int64
 		world := runOverload(t, 10*time.Second, func(o *overloadWorld) {
--- a/pkg/relay/overloadfeedback.go
+++ b/pkg/relay/overloadfeedback.go
@@ -38,15 +38,50 @@
 	}
 	now := o.relay.Now()
 	isFull := result == balance.Refused && !a.responseMeta.Leaving
-	isOutOfTime := result == balance.Cancelled && q.remaining() <= 0
-	if a.number == 1 && q.isAdmitted && !a.isFirstByteRecorded && (isFull || isOutOfTime) {
-		c.mu.Lock()
+	// The final response is written shortly before the caller leaves.
+	isOutOfTime := result == balance.Cancelled && q.remaining() <= finalResponseLead
+	c.mu.Lock()
+	switch {
+	case a.number == 1 && q.isAdmitted && !a.isFirstByteRecorded && (isFull || isOutOfTime):
 		c.queue.RecordNoRoom(now, a.startedAt, q.priority())
-		c.mu.Unlock()
+	case result == balance.Succeeded && a.hasEvents:
+		c.recordRestTime(q.route.Name, now-a.firstEventAt)
 	}
+	c.mu.Unlock()
 	c.lookForRoom()
 }
 
+const (
+	// restTimeWeight is the weight of a stream in the mean of its route.
+	restTimeWeight = 0.1
+	// maxRestTimes bounds the routes whose means are kept, also those of former configurations.
+	maxRestTimes = 1024
+)
+
+// recordRestTime records the time from the first byte of a stream to its end.
+func (c *capacityQueue) recordRestTime(route string, rest time.Duration) {
+	mean, ok := c.restTimes[route]
+	if !ok {
+		mean = rest
+		if len(c.restTimes) >= maxRestTimes {
+			clear(c.restTimes)
+		}
+	}
+	c.restTimes[route] = mean + time.Duration(restTimeWeight*float64(rest-mean))
+}
+
+// fullRefusal returns the refusal of a request that targets have rejected because they are full.
+func (q *request) fullRefusal() refusal {
+	refusal := q.notRunRefusal("target_full")
+	if c := q.relay.overload.queueOf(q); c != nil {
+		ticket := c.ticket(q)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		refusal.retryAfter = c.queue.RetryAfter(q.relay.Now(), ticket)
+	}
+	return refusal
+}
+
 // existingQueue returns the queue of a service, or nil if there is none.
 func (o *overloadControl) existingQueue(service string) *capacityQueue {
 	if o == nil {
--- a/pkg/relay/overloadlimit.go
+++ b/pkg/relay/overloadlimit.go
@@ -86,7 +86,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.classes.update(q.config, c.service)
-	now, wait := q.relay.Now(), q.maxFirstByteWait()
+	now := q.relay.Now()
+	wait := min(q.maxFirstByteWait(), q.remaining()-min(c.restTimes[q.route.Name], q.remaining()/2))
 	ticket := loadshed.Ticket{
 		Priority: q.priority(), Account: q.accountName(), AccountWeight: c.classes.weight, Tokens: q.cost,
 		Deadline: now + wait, Objective: q.route.FirstByteObjective,
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -90,7 +90,7 @@
 func (q *request) finish(a *attempt, result outcome) {
 	switch result {
 	case notRun:
-		q.refuse(q.notRunRefusal("target_full"))
+		q.refuse(q.fullRefusal())
 	case targetError:
 		q.writeErrorResponse(a)
 	case deadlineExceeded:
