Test of a request that loses its place while its process stops

Change: the bound of a queue is a field, so that the test can lower it. A request without an objective may be expected to wait up to its deadline; before, a time of the clock was compared with a duration.

--- a/pkg/loadshed/queue.go
+++ b/pkg/loadshed/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -53,7 +54,7 @@
 	left := max(0, t.Objective-t.Lead)
 	switch {
 	case t.Objective == 0:
-		return t.latestSend()
+		return math.MaxInt64
 	case ahead <= shortQueue:
 		return left
 	default:
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -39,13 +39,15 @@
 	relay *Relay
 	// limitFactor is the process's own factor of all limits.
 	limitFactor float64
+	// maxWaiting is the number of requests to a service that may wait.
+	maxWaiting int
 
 	mu     sync.RWMutex
 	queues map[string]*capacityQueue
 }
 
 func newOverloadControl(relay *Relay) *overloadControl {
-	return &overloadControl{relay: relay, limitFactor: 1 - limitSpread*rand.Float64(), queues: map[string]*capacityQueue{}}
+	return &overloadControl{relay: relay, limitFactor: 1 - limitSpread*rand.Float64(), maxWaiting: maxWaiting, queues: map[string]*capacityQueue{}}
 }
 
 // queueOf returns the queue of a service, or nil for a nil overloadControl or a service without
@@ -60,7 +62,7 @@
 	if !ok {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		queue = &capacityQueue{
-			control: o, service: q.service, queue: loadshed.NewQueue(maxWaiting, random),
+			control: o, service: q.service, queue: loadshed.NewQueue(o.maxWaiting, random),
 			waiting: map[*loadshed.Waiter]*waitingRequest{}, restTimes: map[string]time.Duration{}, wake: make(chan struct{}, 1), meters: newOverloadMeters(o.relay.Metrics, q.service),
 		}
 		o.queues[q.service] = queue
--- a/pkg/relay/overload_test.go
+++ b/pkg/relay/overload_test.go
@@ -202,6 +202,23 @@
 		}
 		So(len(delays), ShouldBeGreaterThan, 10)
 	})
+	Convey("A request that loses its place while the process stops is answered once", t, func() {
+		world := runOverload(t, 10*time.Second, func(o *overloadWorld) {
+			o.relay.overload.maxWaiting = 1
+			for range 20 {
+				o.send(batchPath, "a", 3*time.Second)
+			}
+			time.Sleep(50 * time.Millisecond)
+			o.send(batchPath, "b", 3*time.Second)
+			synctest.Wait()
+			o.mu.Lock()
+			o.refusing = true
+			o.mu.Unlock()
+		})
+		So(world.answers, ShouldHaveLength, 21)
+		So(world.count(func(a *overloadAnswer) bool { return a.account == "a" && a.body == "overload_displaced\n" }), ShouldEqual, 1)
+		So(world.count(func(a *overloadAnswer) bool { return a.account == "b" && a.body == "stopping\n" }), ShouldEqual, 1)
+	})
 	Convey("A stopping process refuses the waiting requests", t, func() {
 		var after int64
 		world := runOverload(t, 10*time.Second, func(o *overloadWorld) {
