--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -39,13 +39,15 @@
 	relay *Relay
 	// limitFactor is the process's own factor of all limits.
 	limitFactor float64
+	// maxWaiting is the number of requests to a service that may wait.
+	maxWaiting int
 
 	mu     sync.RWMutex
 	queues map[string]*capacityQueue
 }
 
 func newOverloadControl(relay *Relay) *overloadControl {
-	return &overloadControl{relay: relay, limitFactor: 1 - limitSpread*rand.Float64(), queues: map[string]*capacityQueue{}}
+	return &overloadControl{relay: relay, limitFactor: 1 - limitSpread*rand.Float64(), maxWaiting: maxWaiting, queues: map[string]*capacityQueue{}}
 }
 
 // queueOf returns the queue of a service, or nil for a nil overloadControl or a service without
@@ -60,8 +62,8 @@
 	if !ok {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		queue = &capacityQueue{
-			control: o, service: q.service, queue: loadshed.NewQueue(maxWaiting, random),
-			waiting: map[*loadshed.Waiter]*waitingRequest{}, wake: make(chan struct{}, 1), meters: newOverloadMeters(o.relay.Metrics, q.service),
+			control: o, service: q.service, queue: loadshed.NewQueue(o.maxWaiting, random),
+			waiting: map[*loadshed.Waiter]*waitingRequest{}, restTimes: map[string]time.Duration{}, wake: make(chan struct{}, 1), meters: newOverloadMeters(o.relay.Metrics, q.service),
 		}
 		o.queues[q.service] = queue
 	}
@@ -81,7 +83,10 @@
 	queue      *loadshed.Queue
 	waiting    map[*loadshed.Waiter]*waitingRequest
 	promptTime loadshed.PromptTime
+	estimates  loadshed.Calibration
 	classes    serviceClasses
+	// restTimes holds the mean times from the first byte to the end of streams, by route.
+	restTimes map[string]time.Duration
 	// isReleasing is set while a goroutine releases the waiting requests.
 	isReleasing bool
 }
@@ -168,6 +173,8 @@
 	q.admitted = q.relay.Balancer.Begin(now, q.balanceRequest(), &choice)
 	q.isAdmitted = true
 	c.promptTime.Observe(now, choice.PrefillTokens, choice.ExpectedTTFB)
+	expected := choice.ExpectedTTFB - c.promptTime.Of(now, choice.PrefillTokens)
+	c.queue.RecordExpected(now, r.ticket.Priority, expected, loadshed.QueueTarget(q.class(), c.classes.classes))
 	return choice, nil
 }
 
@@ -213,6 +220,7 @@
 	case c.isStopping():
 		return balance.Choice{}, stoppingRefusal()
 	default:
+		c.meters.countRefusal(waiter.Priority, loadshed.ReasonExpired)
 		return balance.Choice{}, &refusal{status: http.StatusServiceUnavailable, reason: loadshed.ReasonExpired, retryAfter: notRunRetryAfter}
 	}
 }
@@ -235,16 +243,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.control.relay.Now()
+	for _, expired := range c.queue.Expire(now) {
+		waiter := expired.Waiter
+		c.end(waiter, capacity{refusal: c.refusal(c.waiting[waiter], expired.Refusal, now-waiter.EnqueuedAt)})
+	}
 	if c.isStopping() {
 		for waiter := range c.waiting {
 			c.queue.Leave(waiter)
 			c.end(waiter, capacity{refusal: stoppingRefusal()})
 		}
 	}
-	for waiter, shed := range c.queue.Expire(now) {
-		r := c.waiting[waiter]
-		c.end(waiter, capacity{refusal: c.refusal(r, shed, now-waiter.EnqueuedAt)})
-	}
 	results := map[*loadshed.Waiter]capacity{}
 	released := c.queue.Release(now, func(waiter *loadshed.Waiter) bool {
 		result, decided := c.offer(waiter, now)
--- a/pkg/relay/overloadlimit.go
+++ b/pkg/relay/overloadlimit.go
@@ -77,7 +77,7 @@
 	case limit == 0:
 		limit = loadshed.SoftLimit(q.class())
 	}
-	scaled := time.Duration(fraction * c.control.limitFactor * float64(limit))
+	scaled := time.Duration(fraction * c.control.limitFactor / c.estimates.Factor(now) * float64(limit))
 	return scaled + c.promptTime.Of(now, float64(q.meta.PromptTokens))
 }
 
@@ -86,7 +86,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.classes.update(q.config, c.service)
-	now, wait := q.relay.Now(), q.maxFirstByteWait()
+	now := q.relay.Now()
+	wait := min(q.maxFirstByteWait(), q.remaining()-min(c.restTimes[q.route.Name], q.remaining()/2))
 	ticket := loadshed.Ticket{
 		Priority: q.priority(), Account: q.accountName(), AccountWeight: c.classes.weight, Tokens: q.cost,
 		Deadline: now + wait, Objective: q.route.FirstByteObjective,
