Bounds on what misbehaving callers hold: memory, connections, time

Cause: heads, header maps, connections and copies of events were not in any budget, bodies and responses had budgets (0.7 and 0.25 of the memory) that together left nothing, connections were unlimited on all ports, and the ready port read heads of 1 MiB.

Change: one budget (pkg/membudget, parts and claims) covers connections, heads with their header maps, the handling of requests, bodies, responses and copies of events. A head without memory is refused with 503 (not run) while it arrives. The caller port, the ready port and the metrics port have a limit on connections; at the limit a connection without a request makes room, from the address with the most connections. Writes have 5 s for each 16 KiB, also those of refusals and of large events (these had 5 s for all). A body without a byte for the idle timeout is refused with 408. New: event 965, metrics caller_conns, caller_conns_refused, caller_conns_evicted, caller_heads_refused, request_memory_bytes, settings limits.max_fds and callers.{max_conns,memory_share,write_timeout_ms}.

--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -1,17 +1,18 @@
 package callerserver
 
 import (
-	"fmt"
 	"io"
 	"net"
-	"net/http"
+	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
 )
 
@@ -57,7 +58,18 @@
 	// none. During a drain it is not later than the time from which incomplete
 	// requests are refused.
 	handlerDeadline time.Time
-	closed          bool
+	// writeDeadline is the write deadline that a handler has set; zero if it set none.
+	writeDeadline time.Time
+	closed        bool
+	// memory, head and request are the memory of the connection, of the header that is
+	// being read or handled, and of its handling.
+	memory, head, request *membudget.Claim
+	// hasServed is set once a handler has begun.
+	hasServed bool
+	// evicted is set when the connection has to make room for another one. It is closed
+	// unless a request has arrived.
+	evicted atomic.Bool
+	address netip.Addr
 }
 
 // Read implements net.Conn. It keeps to the deadline of the phase. Bytes that have
@@ -65,8 +77,8 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(p)
-		if !c.recordRead(n) {
-			c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		if refused := c.recordRead(p[:n]); refused != nil {
+			c.refuse(refused)
 			return 0, net.ErrClosed
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -80,11 +92,11 @@
 	}
 }
 
-// recordRead records that n bytes were read, and the beginning of a header. It reports
-// whether the header is within its limit.
-func (c *conn) recordRead(n int) bool {
-	if n == 0 {
-		return true
+// recordRead records the bytes that were read, and the beginning of a header. It returns
+// the refusal of a header beyond its limit, or without memory left for it; nil otherwise.
+func (c *conn) recordRead(p []byte) *headRefusal {
+	if len(p) == 0 {
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,11 +104,19 @@
 		c.headerBytes = 0
 		c.beginPhase(readingHeader)
 	}
-	c.headerBytes += n
+	c.headerBytes += len(p)
 	// This restores the deadline that extendDeadline may have removed. It fails only
 	// on a closed connection.
 	_ = c.setDeadline()
-	return c.phase != readingHeader || c.headerBytes <= c.server.headerBytes()
+	switch {
+	case c.phase != readingHeader:
+		return nil
+	case c.headerBytes > c.server.headerBytes():
+		return headTooLarge
+	case !c.head.Grow(c.headMemory(p)):
+		return headWithoutMemory
+	}
+	return nil
 }
 
 // SetReadDeadline implements net.Conn. The deadline applies while a handler runs.
@@ -123,6 +143,9 @@
 // deadline returns the read deadline of the present phase, or the zero time for
 // none. The caller must hold c.mu.
 func (c *conn) deadline() time.Time {
+	if c.evicted.Load() && c.phase <= readingHeader {
+		return c.since
+	}
 	drain := c.server.drainTimes()
 	switch c.phase {
 	case waiting:
@@ -158,6 +181,12 @@
 	if c.phase > readingHeader || sockstate.Of(c.TCPConn) != sockstate.Readable {
 		return false
 	}
+	if c.evicted.Load() {
+		if c.phase == readingHeader {
+			return false
+		}
+		c.evicted.Store(false)
+	}
 	return c.TCPConn.SetReadDeadline(time.Time{}) == nil
 }
 
@@ -171,20 +200,23 @@
 	case waiting:
 		_ = c.Close()
 	case readingHeader:
-		c.refuse(http.StatusRequestTimeout)
+		if c.evicted.Load() {
+			c.refuse(headEvicted)
+			return
+		}
+		c.refuse(headTimeout)
 	case received, handling, answered:
 	}
 }
 
 // refuse responds to a request whose header has not been read completely, and
 // closes the connection. An encrypted connection is closed without a response.
-func (c *conn) refuse(status int) {
-	c.server.config.Log.Log(eventlog.CallerHeaderRefused, "remote", c.RemoteAddr().String(), "status", status,
-		"header_ms", c.phaseAge().Milliseconds())
+func (c *conn) refuse(refusal *headRefusal) {
+	c.logRefusal(refusal)
 	// If a write fails, the caller has disconnected.
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	if !c.isEncrypted() {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+		_, _ = io.WriteString(c, refusal.response())
 	}
 	_ = c.CloseWrite()
 	c.discardUnread()
@@ -207,17 +239,6 @@
 // isEncrypted reports whether the connection carries TLS records.
 func (c *conn) isEncrypted() bool { return c.server.config.TLS != nil }
 
-// Write implements net.Conn. Before the handler begins, only the HTTP server
-// itself writes, to reject a malformed request, and the encryption its handshake.
-func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	if c.phase < handling && !c.isEncrypted() {
-		c.beginPhase(answered)
-	}
-	c.mu.Unlock()
-	return c.TCPConn.Write(p)
-}
-
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -228,6 +249,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requestID = id
+	c.hasServed = true
+	c.writeDeadline = time.Time{}
 	c.beginPhase(handling)
 }
 
@@ -235,6 +258,9 @@
 func (c *conn) beginPhase(p phase) {
 	c.phase = p
 	c.since = time.Now()
+	if p == waiting || p == answered {
+		c.releaseRequest()
+	}
 	// A deadline can't be set on a closed connection, where reads fail too.
 	_ = c.setDeadline()
 }
@@ -247,6 +273,8 @@
 	if !c.closed {
 		c.closed = true
 		c.reportCut()
+		c.releaseRequest()
+		c.memory.Release()
 		c.server.forget(c)
 	}
 	return c.TCPConn.Close()
--- a/pkg/callerserver/listener.go
+++ b/pkg/callerserver/listener.go
@@ -30,7 +30,10 @@
 		draining := l.limitAccept()
 		tcp, err := l.AcceptTCP()
 		if err == nil {
-			return l.server.track(tcp), nil
+			if c := l.server.admit(tcp); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			// http.Server examines the type of the error.
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -15,10 +15,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 )
 
 const (
@@ -46,7 +48,19 @@
 	TLS *tls.Config
 	// Limits returns the limits in force. Its zero fields stand for defaults.
 	Limits func() fleet.ClientLimits
-	Log    *eventlog.Logger
+	// Name names the server in logs and metrics.
+	Name string
+	// MaxConns is the largest number of connections; 0 means no limit.
+	MaxConns int
+	// Memory bounds the memory of connections, headers and their handling; nil means no
+	// bound.
+	Memory *membudget.Budget
+	// WriteTimeout is the longest time for the write of each writePartBytes to a caller,
+	// unless the handler sets a deadline; 0 means the default.
+	WriteTimeout time.Duration
+	Log          *eventlog.Logger
+	// Metrics may be nil.
+	Metrics tally.Scope
 }
 
 // Server serves the callers' requests.
@@ -54,7 +68,9 @@
 	config Config
 	http   *http.Server
 	// cut is the number of connections that were closed on an unanswered request.
-	cut atomic.Int64
+	cut    atomic.Int64
+	meters meters
+	places places
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -74,7 +90,7 @@
 
 // New returns a Server with the given dependencies.
 func New(config Config) *Server {
-	s := &Server{config: config, conns: map[*conn]struct{}{}, acceptEnded: make(chan struct{})}
+	s := &Server{config: config, meters: newMeters(config.Metrics, config.Name), conns: map[*conn]struct{}{}, acceptEnded: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:        s.handler(),
 		MaxHeaderBytes: maxHeaderBytes,
@@ -136,11 +152,18 @@
 // startDrain begins to drain the listener and returns the open connections.
 func (s *Server) startDrain(d drain) []*conn {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.drain = d
 	if s.listener != nil {
 		s.listener.interrupt()
 	}
+	s.mu.Unlock()
+	return s.trackedConns()
+}
+
+// trackedConns returns the open connections.
+func (s *Server) trackedConns() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return slices.Collect(maps.Keys(s.conns))
 }
 
@@ -193,6 +216,10 @@
 		defer c.setPhase(answered)
 		tracked := &responseWriter{ResponseWriter: w, server: s, endsWithConn: !r.ProtoAtLeast(1, 1)}
 		defer s.recoverPanic(c, tracked, id)
+		if !c.claimRequest() {
+			c.refuseRequest(tracked, id)
+			return
+		}
 		s.config.Handler.ServeHTTP(tracked, r)
 	})
 }
@@ -223,9 +250,13 @@
 
 // track returns the conn for a new connection.
 func (s *Server) track(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, server: s, since: time.Now()}
+	c := &conn{
+		TCPConn: tcp, server: s, since: time.Now(), address: remoteAddress(tcp),
+		memory: s.config.Memory.NewClaim(), head: s.config.Memory.NewClaim(), request: s.config.Memory.NewClaim(),
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	s.meters.conns.Update(float64(len(s.conns)))
 	s.mu.Unlock()
 	c.applyDeadline()
 	return c
@@ -236,4 +267,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	s.meters.conns.Update(float64(len(s.conns)))
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -22,7 +22,6 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
 	"github.com/baobabhub/baobabhub/pkg/kv"
-	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/metrics"
 	"github.com/baobabhub/baobabhub/pkg/relay"
 	"github.com/baobabhub/baobabhub/pkg/rollout"
@@ -96,13 +95,6 @@
 	// memoryLimitFraction is the fraction of the process's memory limit that is
 	// set as the Go runtime's soft limit.
 	memoryLimitFraction = 0.8
-	// bufferMemoryFraction is the fraction of the process's memory limit that
-	// buffered responses may use. defaultBufferBytes applies without a limit.
-	bufferMemoryFraction = 0.25
-	defaultBufferBytes   = 64 << 20
-	// bodyMemoryFraction is the fraction of the memory limit that the bodies of requests may
-	// use, large ones half of it.
-	bodyMemoryFraction = 0.7
 	// pruneInterval is the interval of the cleanup of connections, targets and
 	// peers.
 	pruneInterval = time.Second
@@ -155,6 +147,7 @@
 	drainExpired context.Context
 	expireDrain  context.CancelFunc
 	ready        readiness
+	memory       memoryBudgets
 }
 
 // New creates an entry process that logs to out. Run starts it.
@@ -176,6 +169,7 @@
 		pools:     targetconn.NewPools(),
 
 		unreadableTargets: map[string]uint64{},
+		memory:            newMemoryBudgets(&settings),
 	}
 	e.drainExpired, e.expireDrain = context.WithCancel(context.Background())
 	e.limiter = tokenrate.New(settings.FirstStart)
@@ -207,7 +201,7 @@
 		e.rollouts.requestPlan()
 	})
 	e.relay = relay.New(relay.Config{
-		Codec: platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools, Buffers: membudget.New(bufferBytes(settings)), Bodies: bodyBudget(settings),
+		Codec: platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools, Buffers: e.memory.responses, Bodies: e.memory.intake, WriteTimeout: settings.CallerWriteTimeout,
 		Log: e.log, Metrics: e.metrics.Scope, Now: e.uptime,
 		CurrentConfig: e.config.Load,
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
@@ -235,22 +229,6 @@
 	return true
 }
 
-// bufferBytes returns the memory that buffered responses may use.
-func bufferBytes(settings Settings) int64 {
-	if settings.MemoryBytes <= 0 {
-		return defaultBufferBytes
-	}
-	return int64(bufferMemoryFraction * float64(settings.MemoryBytes))
-}
-
-// bodyBudget returns the budget of the bodies of requests; nil without a memory limit.
-func bodyBudget(settings Settings) *membudget.Budget {
-	if settings.MemoryBytes <= 0 {
-		return nil
-	}
-	return membudget.New(int64(bodyMemoryFraction * float64(settings.MemoryBytes)))
-}
-
 // newBootID returns an identifier for this run of the process.
 func newBootID() string {
 	return fmt.Sprintf("%d-%x", os.Getpid(), rand.Uint64())
@@ -328,6 +306,7 @@
 		e.software.observeTargets()
 		e.members.markSilentPeers()
 		e.quarantine.expire()
+		e.memory.record(e.metrics.Scope)
 		if dropped := e.ring.Dropped(); dropped > 0 {
 			e.log.Log(eventlog.LinesDropped, "lines", dropped)
 		}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -14,8 +14,6 @@
 	"github.com/baobabhub/baobabhub/pkg/callerserver"
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
-	"github.com/baobabhub/baobabhub/pkg/fleet"
-	"github.com/baobabhub/baobabhub/pkg/relay"
 )
 
 const (
@@ -26,9 +24,6 @@
 	// finalResponseTimeout is the time that the remaining requests then have to
 	// write their final responses.
 	finalResponseTimeout = 500 * time.Millisecond
-	// headerTimeout is the longest time for the header of a readiness check or of a
-	// request for metrics.
-	headerTimeout = 5 * time.Second
 )
 
 // readiness holds the conditions under which the process accepts callers.
@@ -50,15 +45,11 @@
 // serve serves callers, readiness checks and metrics until stopCtx is cancelled,
 // and then drains.
 func (e *Entry) serve(stopCtx context.Context) error {
-	callers := callerserver.New(callerserver.Config{
-		Handler: e.relay, ConnContext: relay.ConnContext, Limits: e.callerLimits, Log: e.log,
-		RequestID:    func(header http.Header) string { return e.platform.Codec.DecodeRequest(header).ID },
-		SetRequestID: func(header http.Header, id string) { e.platform.Codec.SetRequestID(header, id) },
-	})
-	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: e.log.ErrorLog("ready")}
-	metrics := &http.Server{Handler: e.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: e.log.ErrorLog("metrics")}
+	callers := e.newCallerServer()
+	ready := e.newSmallServer("ready", e.readyHandler())
+	metrics := e.newSmallServer("metrics", e.metricsHandler())
 	serveErrors := make(chan error, 3)
-	start := func(server acceptor, address string) error {
+	start := func(server *callerserver.Server, address string) error {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return errors.Annotatef(err, "listening on %s", address)
@@ -89,25 +80,11 @@
 	return e.drain(callers, ready, metrics)
 }
 
-// callerLimits returns the limits of callers that the configuration in force sets.
-func (e *Entry) callerLimits() fleet.ClientLimits {
-	config := e.config.Load()
-	if config == nil {
-		return fleet.ClientLimits{}
-	}
-	return config.Limits
-}
-
-// acceptor is a server that serves the connections of a listener.
-type acceptor interface {
-	Serve(listener net.Listener) error
-}
-
 // drain reports that the process is not ready, refuses new requests after the leave
 // notice, closes the callers' listener and waits for the requests in progress. Those
 // that remain near the end of the grace period get a response without waiting for
 // their targets.
-func (e *Entry) drain(callers *callerserver.Server, ready, metrics *http.Server) error {
+func (e *Entry) drain(callers *callerserver.Server, ready, metrics *callerserver.Server) error {
 	startedAt := time.Now()
 	e.stopping.Store(true)
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -33,6 +33,17 @@
 	FirstStart bool
 	// MemoryBytes is the process's memory limit; 0 sets none.
 	MemoryBytes int64
+	// MaxDescriptors is the process's limit on open descriptors; 0 if it is not known.
+	MaxDescriptors int
+	// MaxCallerConns is the largest number of connections of callers; 0 derives it from
+	// MaxDescriptors and MemoryBytes.
+	MaxCallerConns int
+	// CallerMemoryShare is the share of MemoryBytes that callers and responses may use
+	// together; 0 means the default.
+	CallerMemoryShare float64
+	// CallerWriteTimeout is the longest time in which a caller has to read each 16 KiB of a
+	// response; 0 means the default.
+	CallerWriteTimeout time.Duration
 	// LeaseTTL is the time to live of the process's lease in the store.
 	LeaseTTL time.Duration
 	// StopGrace is the time between the stop signal and the kill signal.
@@ -111,6 +122,8 @@
 	require(s.StoreAddress != "", "the store's address is missing")
 	require(s.PeerPort > 0 && s.PeerPort < 1<<16, "the peer port is missing or out of range")
 	require(s.RetryRatio >= 0 && s.RetryBurst >= 0, "the retry budget is negative")
+	require(s.MaxDescriptors >= 0 && s.MaxCallerConns >= 0 && s.CallerWriteTimeout >= 0, "a limit of callers is negative")
+	require(s.CallerMemoryShare >= 0 && s.CallerMemoryShare <= memoryLimitFraction, "the share of memory for callers is out of range")
 	require(s.ExposureShare >= 0 && s.ExposureShare <= 1 && s.ExposureSlack >= 0 && s.RollbackTime >= 0, "the exposure of a new software version is out of range")
 	require(s.HedgeShare >= 0 && s.HedgeShare <= maxHedgeShare, "the share of hedged requests is out of range")
 	if len(problems) == 0 {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -18,8 +18,8 @@
 	// request ID is empty unless the handler had begun.
 	CallerCut = Event{906, "caller_cut", "The process closed a caller's connection on an unanswered request: one that it had not read, had read in part, or was handling.",
 		[]string{"remote", "request_id", "phase", "unread", "phase_ms"}}
-	CallerHeaderRefused = Event{907, "caller_header_refused", "A caller's request was refused because its header did not arrive completely in time, or was too large; the request has not run and never will.",
-		[]string{"remote", "status", "header_ms"}}
+	CallerHeaderRefused = Event{907, "caller_header_refused", "A caller's request was refused because of its header: reason is timeout if it did not arrive completely in time, too_large, memory if the requests in progress leave no memory for it, or evicted if its connection had to make room for another one; the request has not run and never will.",
+		[]string{"server", "remote", "status", "reason", "header_ms", "header_bytes", "memory_used"}}
 	HandlerPanicked = Event{908, "handler_panicked", "A panic ended the handling of a caller's request. status is 502 if that was sent, or 0 if a response had begun and the connection was closed.",
 		[]string{"request_id", "status", "err", "stack"}}
 	HTTPServerError = Event{909, "http_server_error", "An HTTP server of the process reported an error.", []string{"server", "err"}}
@@ -92,6 +92,8 @@
 		[]string{"target", "born", "source"}}
 	ConnNotReset = Event{957, "conn_not_reset", "The connection of an incomplete response that ends with its connection could not be set up to be reset, so that its caller may take the response for complete.",
 		[]string{"request_id", "err"}}
+	CallerConnsLimited = Event{965, "caller_conns_limited", "A port has as many connections as it may have, or no memory for one more. refused counts new connections that were closed at once, evicted those without a request that were closed for new ones, both since the start; it is logged once a second at most.",
+		[]string{"server", "remote", "conns", "limit", "refused", "evicted", "memory_used"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -103,5 +105,5 @@
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
 	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed, TrialTaken,
-	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
+	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset, CallerConnsLimited,
 }
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -30,10 +30,14 @@
 	ErrBudgetExceeded = errors.ConstError("memory budget for buffered data exceeded")
 )
 
-// Budget is the memory of all buffers together. It is safe for concurrent use. A nil
-// Budget is unlimited.
+// Budget is the memory of all buffers and claims together. It is safe for concurrent use.
+// A nil Budget is unlimited.
 type Budget struct {
 	limit int64
+	// largeLimit is the part of limit that large buffers and claims may use.
+	largeLimit int64
+	// whole is the budget of which this one is a part; nil if it is none.
+	whole *Budget
 
 	mu   sync.Mutex
 	used int64
@@ -41,11 +45,32 @@
 
 // New returns a Budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit}
+	return &Budget{limit: limit, largeLimit: limit - int64(smallBufferFraction*float64(limit))}
 }
 
-// Used returns the number of bytes that all buffers occupy.
+// Part returns a budget for a part of the data, of limit bytes, of which large buffers and
+// claims may use largeLimit. What it reserves counts against b too. The limits of all
+// parts together may exceed that of b.
+func (b *Budget) Part(limit, largeLimit int64) *Budget {
+	if b == nil {
+		return nil
+	}
+	return &Budget{limit: limit, largeLimit: largeLimit, whole: b}
+}
+
+// Limit returns the budget in bytes; 0 for an unlimited one.
+func (b *Budget) Limit() int64 {
+	if b == nil {
+		return 0
+	}
+	return b.limit
+}
+
+// Used returns the number of bytes that all buffers and claims occupy.
 func (b *Budget) Used() int64 {
+	if b == nil {
+		return 0
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.used
@@ -56,18 +81,32 @@
 	return &Buffer{budget: b}
 }
 
-// reserve adds the size bytes to which a buffer grows, and reports whether the budget
-// allows it.
-func (b *Budget) reserve(size int64) bool {
+// reserve adds size bytes to a buffer or a claim that keeps held bytes in addition, and
+// reports whether the budget allows it.
+func (b *Budget) reserve(size, held int64) bool {
 	if b == nil {
 		return true
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	limit := b.limit
-	if size > smallBufferBytes {
-		limit -= int64(smallBufferFraction * float64(b.limit))
+	if size+held > smallBufferBytes {
+		limit = b.largeLimit
+	}
+	if !b.add(size, limit) {
+		return false
+	}
+	// The whole budget only bounds the sum of its parts, each of which leaves room for
+	// small buffers.
+	if b.whole != nil && !b.whole.add(size, b.whole.limit) {
+		b.subtract(size)
+		return false
 	}
+	return true
+}
+
+// add adds size bytes, and reports whether that is within limit.
+func (b *Budget) add(size, limit int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.used+size > limit {
 		return false
 	}
@@ -75,13 +114,20 @@
 	return true
 }
 
+func (b *Budget) subtract(size int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= size
+}
+
 func (b *Budget) release(size int64) {
 	if b == nil {
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= size
+	b.subtract(size)
+	if b.whole != nil {
+		b.whole.subtract(size)
+	}
 }
 
 // Buffer holds data that counts against a Budget. It is not safe for concurrent use.
@@ -94,7 +140,7 @@
 func (b *Buffer) Reserve(size int64) bool {
 	// Reading the end of the data needs room for one more byte.
 	size++
-	if !b.budget.reserve(size) {
+	if !b.budget.reserve(size, 0) {
 		return false
 	}
 	b.budget.release(int64(cap(b.data)))
@@ -148,7 +194,7 @@
 	if newBytes >= limit {
 		newBytes = max(limit, oldBytes) + 1
 	}
-	if !b.budget.reserve(newBytes) {
+	if !b.budget.reserve(newBytes, 0) {
 		return false
 	}
 	data := make([]byte, len(b.data), newBytes)
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -14,8 +14,8 @@
 const (
 	// maxResponseBytes bounds a response that is buffered until it is complete.
 	maxResponseBytes = 8 << 20
-	// maxWriteBytes bounds a single write of such a response to the caller, which has
-	// callerWriteTimeout for each.
+	// maxWriteBytes bounds a single write to the caller, which has the time limit of writes
+	// for each.
 	maxWriteBytes = 16 << 10
 )
 
@@ -112,14 +112,24 @@
 	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.wroteHeader = true
-	for part := range slices.Chunk(body, maxWriteBytes) {
+	if !q.writeParts(body) {
+		q.mayHaveRun = true
+		q.handleDisconnect(a)
+	}
+	q.logDelivered(a)
+}
+
+// writeParts writes to the caller, with a time limit for each part, so that a caller that
+// reads slowly gets everything and one that doesn't read is cut off. It reports whether
+// the writes succeeded.
+func (q *request) writeParts(data []byte) bool {
+	for part := range slices.Chunk(data, maxWriteBytes) {
 		q.setWriteDeadline()
 		if _, err := q.w.Write(part); err != nil {
-			q.mayHaveRun = true
-			q.handleDisconnect(a)
+			return false
 		}
 	}
-	q.logDelivered(a)
+	return true
 }
 
 func (q *request) copyHeader(resp *http.Response) {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -52,6 +52,9 @@
 	// the complete body of a response that is not a stream.
 	buffer *membudget.Buffer
 	body   []byte
+	// eventCopies is the memory of events on their way to the caller.
+	eventCopies *membudget.Claim
+
 	sent   bool
 	err    error
 	result outcome
@@ -67,7 +70,8 @@
 	q.attempts++
 	a := &attempt{number: q.attempts, choice: choice, startedAt: relay.Now(), position: q.streamPosition(), events: make(chan []byte)}
 	a.buffer = relay.Buffers.NewBuffer()
-	q.buffers = append(q.buffers, a.buffer)
+	a.eventCopies = relay.Buffers.NewClaim()
+	q.buffers = append(q.buffers, a.buffer, a.eventCopies)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	relay.instruments.attempts.Inc(1)
 	a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(), &a.choice)
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -21,6 +23,9 @@
 	// fullRetryAfter is the Retry-After value while the bodies of other requests leave no
 	// memory for one.
 	fullRetryAfter = time.Second
+	// defaultBodyPause bounds the time without a byte of a body if the configuration sets no
+	// idle timeout.
+	defaultBodyPause = time.Minute
 )
 
 // readBody reads the request's body within the request's time.
@@ -39,8 +44,8 @@
 	if q.r.ContentLength > 0 && !q.bodyBuffer.Reserve(q.r.ContentLength) {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "bodies_full", retryAfter: fullRetryAfter}
 	}
-	q.limitBodyTime(q.remaining())
-	err := q.bodyBuffer.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit), limit)
+	body := &pacedBody{q: q, body: http.MaxBytesReader(q.w, q.r.Body, limit)}
+	err := q.bodyBuffer.ReadAll(body, limit)
 	if err == nil {
 		q.body = q.bodyBuffer.Bytes()
 		q.endBodyTime()
@@ -51,7 +56,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "bodies_full", retryAfter: fullRetryAfter}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &refusal{status: http.StatusRequestTimeout, reason: "body_timeout"}
+		return q.lateBodyRefusal()
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -61,6 +66,34 @@
 	return &refusal{status: http.StatusBadRequest, reason: "body_unreadable"}
 }
 
+// pacedBody reads a request's body. Each read ends at the request's deadline, or after the
+// longest pause that a caller may make.
+type pacedBody struct {
+	q    *request
+	body io.Reader
+}
+
+// Read implements io.Reader.
+func (b *pacedBody) Read(p []byte) (int, error) {
+	b.q.setReadDeadline(time.Now().Add(min(b.q.remaining(), b.q.bodyPause())))
+	return b.body.Read(p)
+}
+
+// bodyPause returns the longest time without a byte of the body: that of a connection
+// without a request.
+func (q *request) bodyPause() time.Duration {
+	return cmp.Or(q.config.Limits.IdleTimeout, defaultBodyPause)
+}
+
+// lateBodyRefusal refuses a request whose body has not arrived in time.
+func (q *request) lateBodyRefusal() *refusal {
+	reason := "body_timeout"
+	if q.remaining() > 0 {
+		reason = "body_stalled"
+	}
+	return &refusal{status: http.StatusRequestTimeout, reason: reason}
+}
+
 // limitBodyTime bounds the time for which the request's body is read from now on.
 func (q *request) limitBodyTime(timeout time.Duration) {
 	if q.r.ContentLength == 0 {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -46,9 +46,12 @@
 	// time.
 	Buffers *membudget.Budget
 	// Bodies bounds the memory of the bodies of requests; nil means no bound.
-	Bodies  *membudget.Budget
-	Log     *eventlog.Logger
-	Metrics tally.Scope
+	Bodies *membudget.Budget
+	// WriteTimeout is the longest time for the write of each maxWriteBytes to a caller; 0
+	// means callerWriteTimeout.
+	WriteTimeout time.Duration
+	Log          *eventlog.Logger
+	Metrics      tally.Scope
 	// Now returns the time of the process's monotonic clock.
 	Now func() time.Duration
 	// CurrentConfig returns the current configuration, or nil before the first
@@ -140,8 +143,8 @@
 	body        []byte
 	// bodyBuffer holds body; nil without one.
 	bodyBuffer *membudget.Buffer
-	// buffers holds the buffers of all attempts.
-	buffers []*membudget.Buffer
+	// buffers holds the buffers and claims of all attempts.
+	buffers []interface{ Release() }
 	// usedConns holds the connections to targets on which the request has been sent.
 	usedConns targetconn.UsedConns
 	// cost is the number of tokens charged to the account's rate limit.
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -10,9 +11,11 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/eventstream"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 )
 
-// callerWriteTimeout bounds a write to the caller.
+// callerWriteTimeout bounds a write of maxWriteBytes to the caller if the configuration of
+// the relay sets no other time.
 const callerWriteTimeout = 5 * time.Second
 
 // errStreamInterrupted indicates that a target's stream ended prematurely.
@@ -27,6 +30,9 @@
 	}
 	for {
 		events, err := reader.Next()
+		if !a.claimEvents(events) {
+			return q.failStream(a, membudget.ErrBudgetExceeded)
+		}
 		if len(events) > 0 && !a.deliverEvents(bytes.Clone(events)) {
 			a.exchange.Finish(false)
 			a.err = context.Cause(a.ctx)
@@ -42,6 +48,12 @@
 	}
 }
 
+// claimEvents claims the memory of the copies of events, of which one may be on its way to
+// the caller while the next one is made. It reports whether the budget allows it.
+func (a *attempt) claimEvents(events []byte) bool {
+	return a.eventCopies.Raise(2 * int64(len(events)))
+}
+
 // writeEvents writes complete events to the caller and reports whether the write
 // succeeded.
 func (q *request) writeEvents(a *attempt, controller *http.ResponseController, events []byte) bool {
@@ -49,11 +61,7 @@
 	a.tracked.RecordFirstByte(now)
 	q.writeResponseHeader(a, now)
 	q.trackEvents(events)
-	q.setWriteDeadline()
-	if _, err := q.w.Write(events); err != nil {
-		return false
-	}
-	return controller.Flush() == nil
+	return q.writeParts(events) && controller.Flush() == nil
 }
 
 // setWriteDeadline bounds the following writes to the caller. The server removes the
@@ -61,7 +69,7 @@
 func (q *request) setWriteDeadline() {
 	// Setting the deadline fails only on a closed connection, where the write fails
 	// too.
-	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(cmp.Or(q.relay.WriteTimeout, callerWriteTimeout)))
 }
 
 // writeResponseHeader writes the response header to the caller, unless an
