--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -51,3 +53,52 @@
 		}
 	})
 }
+
+// pausingBody is a body whose next byte arrives after its read deadline.
+type pausingBody struct{ io.Reader }
+
+func (b pausingBody) Read(p []byte) (int, error) {
+	if n, err := b.Reader.Read(p); err == nil {
+		return n, nil
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// deadlineRecorder records the read deadlines of a caller's connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Duration
+}
+
+// SetReadDeadline is called by http.ResponseController.
+func (r *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	r.deadlines = append(r.deadlines, time.Until(deadline))
+	return nil
+}
+
+// TestStalledBodyRefusal guards against a body that stops and holds its memory until the
+// deadline of the request, and against a slow one that is refused before the time that
+// the configuration gives it.
+func TestStalledBodyRefusal(t *testing.T) {
+	const idle = 10 * time.Second
+	Convey("Each read of a body ends at the idle timeout, or at the request's deadline", t, func() {
+		for reason, remaining := range map[string]time.Duration{"body_stalled": time.Hour, "body_timeout": 0} {
+			relay := &Relay{Config: Config{Now: func() time.Duration { return 0 }}}
+			config := fleet.NewConfig(1, fleet.ClientLimits{IdleTimeout: idle}, nil, nil, nil, nil)
+			r := httptest.NewRequest(http.MethodPost, "/", pausingBody{strings.NewReader("half")})
+			r.ContentLength = 10
+			caller := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+			q := &request{relay: relay, w: caller, r: r, config: config, deadline: remaining}
+			refusal := q.readBody()
+			So(refusal, ShouldNotBeNil)
+			So(refusal.status, ShouldEqual, http.StatusRequestTimeout)
+			So(refusal.reason, ShouldEqual, reason)
+			for _, deadline := range caller.deadlines {
+				So(deadline, ShouldBeLessThanOrEqualTo, min(idle, remaining))
+				So(deadline, ShouldBeGreaterThan, min(idle, remaining)-time.Second)
+			}
+			So(caller.deadlines, ShouldHaveLength, 2)
+			q.releaseBody()
+		}
+	})
+}
--- a/pkg/relay/write_test.go
+++ b/pkg/relay/write_test.go
@@ -56,4 +56,17 @@
 		So(bytes.Equal(caller.Body.Bytes(), body), ShouldBeTrue)
 		So(caller.delay, ShouldBeGreaterThan, callerWriteTimeout)
 	})
+	Convey("It gets the whole of a large event, too", t, func() {
+		l := New(Config{
+			Log: eventlog.Discard(), Metrics: tally.NoopScope,
+			Now: func() time.Duration { return 0 }, DrainExpired: context.Background(), WriteTimeout: 4 * time.Second,
+		})
+		caller := &slowWriter{ResponseRecorder: httptest.NewRecorder(), interval: time.Second / 5}
+		q := &request{relay: l, w: caller, r: httptest.NewRequest(http.MethodGet, "/", nil)}
+		So(q.writeParts(bytes.Repeat([]byte("x"), 1<<20)), ShouldBeTrue)
+		Convey("but one that reads less than 4 KiB a second is cut off", func() {
+			caller.interval = time.Second / 3
+			So(q.writeParts(bytes.Repeat([]byte("x"), 1<<20)), ShouldBeFalse)
+		})
+	})
 }
