--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -230,12 +230,6 @@
 	_, _ = io.Copy(io.Discard, c.TCPConn)
 }
 
-func (c *conn) phaseAge() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Since(c.since)
-}
-
 // isEncrypted reports whether the connection carries TLS records.
 func (c *conn) isEncrypted() bool { return c.server.config.TLS != nil }
 
--- a/pkg/callerserver/fuzz_test.go
+++ b/pkg/callerserver/fuzz_test.go
@@ -4,9 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabhub/baobabhub/pkg/callerserver"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
@@ -77,9 +80,7 @@
 	_, _ = conn.Write(data[:split])
 	_, _ = conn.Write(data[split:])
 	_ = conn.(*net.TCPConn).CloseWrite()
-	if _, err := io.Copy(io.Discard, conn); err != nil {
-		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-			t.Fatal("the server has not closed the connection")
-		}
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal("the server has not closed the connection")
 	}
 }
--- a/test/callers/sound_test.go
+++ b/test/callers/sound_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/baobabhub/baobabhub/platform/platformfake"
 )
 
@@ -83,7 +85,7 @@
 		}
 		_, err = io.CopyN(&answer, resp.Body, answerBytes/slowPieces)
 	}
-	if err != io.EOF || resp.StatusCode != http.StatusOK || answer.Len() < answerBytes || resp.Header.Get(platformfake.HeaderStamp) == "" {
+	if !errors.Is(err, io.EOF) || resp.StatusCode != http.StatusOK || answer.Len() < answerBytes || resp.Header.Get(platformfake.HeaderStamp) == "" {
 		return fmt.Errorf("status %d, %d bytes, %w", resp.StatusCode, answer.Len(), err)
 	}
 	return nil
