A request that its caller sends again never reuses its connection to a target

Cause: a target that writes a refusal once more, late, on a kept connection had it taken for the answer to the same request sent again under its ID: the caller was told 503 not run although the request had run (TestLateDuplicate, red on the code before: 503 where 200 was wanted). The guard of UsedConns covered the attempts of one request only.

Tests: TestLateDuplicate, TestRepeatedRefusal, pkg/targetconn, pkg/relay green with -race.

--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -15,7 +15,7 @@
 func (q *request) roundTrip(a *attempt) outcome {
 	relay := q.relay
 	target := &a.choice.Target
-	conn, err := relay.Pools.Get(a.ctx, target, q.connLimit(), &q.usedConns)
+	conn, err := relay.Pools.Get(a.ctx, target, q.connLimit(), q.usedConns)
 	if err != nil {
 		a.err = err
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -146,7 +146,7 @@
 	// buffers holds the buffers and claims of all attempts.
 	buffers []interface{ Release() }
 	// usedConns holds the connections to targets on which the request has been sent.
-	usedConns targetconn.UsedConns
+	usedConns *targetconn.UsedConns
 	// cost is the number of tokens charged to the account's rate limit.
 	cost      float64
 	startedAt time.Duration
@@ -177,6 +177,7 @@
 func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{relay: l, w: w, r: r, meta: l.Codec.DecodeRequest(r.Header), startedAt: l.Now()}
 	q.sharedParts = sharedPartIDs(&q.meta)
+	q.usedConns = targetconn.NewUsedConns(q.meta.ID)
 	if l.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -54,6 +54,8 @@
 	head   *headLimiter
 	// runChecked is set once the connection is known to lead to the run of the target in its pool.
 	runChecked bool
+	// carried holds the IDs of the latest requests on the connection.
+	carried carriedIDs
 	// idleTimeout is the time after which the target closes the idle connection.
 	idleTimeout time.Duration
 	idleSince   time.Time
