--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/gossip"
+	"github.com/baobabhub/baobabhub/pkg/hedge"
 	"github.com/baobabhub/baobabhub/pkg/kv"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/metrics"
@@ -222,6 +223,7 @@
 		DrainExpired:  e.drainExpired,
 		Processes:     e.members.processCount,
 		Retries:       relay.NewRetryBudgets(settings.RetryRatio, settings.RetryBurst),
+		Hedges:        hedge.New(settings.HedgeShare),
 	})
 	return e, nil
 }
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -92,6 +92,10 @@
 		[]string{"target", "born", "source"}}
 	ConnNotReset = Event{957, "conn_not_reset", "The connection of an incomplete response that ends with its connection could not be set up to be reset, so that its caller may take the response for complete.",
 		[]string{"request_id", "err"}}
+	HedgeDecided = Event{958, "hedge_decided", "A request had no response for longer than its route's requests usually have none. hedge is the target of a second copy of it, or reason is why there is none. delay_ms is the time after which a copy may begin, quantile that of the route's distribution that it follows from, and by_expectation is true if that is a distribution of ratios of observed to expected times. expected_ms is the expected time to the first byte at the first target, and hedge_expected_ms at the other.",
+		[]string{"request_id", "route", "try", "target", "hedge", "reason", "waited_ms", "delay_ms", "quantile", "by_expectation", "expected_ms", "hedge_expected_ms", "left_ms"}}
+	HedgeEnded = Event{959, "hedge_ended", "A hedge has ended or become the request's only attempt: it won (its response came first), lost (the first attempt's did, or the request ended), failed, or took_over since the first attempt failed. saved_ms is an estimate for a hedge that won: the first response is assumed to take twice as long as it had taken when the hedge began, or until a second attempt after the target's silence could respond.",
+		[]string{"request_id", "route", "try", "target", "outcome", "waited_ms", "took_ms", "saved_ms"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
 
@@ -103,5 +107,5 @@
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
 	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed, TrialTaken,
-	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
+	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset, HedgeDecided, HedgeEnded,
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -41,6 +41,9 @@
 	// silences counts the times without events since the latest one that were long
 	// enough for a second attempt.
 	silences int
+	// hedgedAfter is the time for which the active attempt had no response when this one began as
+	// its hedge; 0 if this is none.
+	hedgedAfter time.Duration
 
 	// isConnKept is set if the connection to the target had been used before.
 	isConnKept bool
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -21,8 +21,8 @@
 // handler uses it.
 //
 // At most two attempts run at a time: the active one, whose response goes to the
-// caller, and a standby, which begins when the active one's target is silent. A
-// silent target may be healthy, so its attempt is cancelled only when the standby has
+// caller, and a standby, which begins when the active one's target is silent, or
+// earlier as a hedge when its response is later than it should be. A silent target may be healthy, so its attempt is cancelled only when the standby has
 // a response. If the active attempt's response continues first, the standby is
 // cancelled. The target of the cancelled attempt is then the spare target: it counts
 // against the route's attempts already, so that it may receive the request again.
@@ -51,6 +51,7 @@
 	spareTarget string
 	// silence fires when the active attempt's target has been silent for too long.
 	silence *time.Timer
+	hedge   hedgeState
 	// callerLeaves fires shortly before the caller stops waiting.
 	callerLeaves *time.Timer
 	controller   *http.ResponseController
@@ -60,9 +61,10 @@
 // or no further attempt is allowed.
 func (q *request) sendWithRetries(ctx context.Context) {
 	q.relay.Retries.RecordRequest(q.service, q.relay.Processes())
+	q.relay.Hedges.RecordRequest(q.relay.Now(), q.service, q.relay.Processes())
 	d := &dispatcher{
 		q: q, ctx: ctx, excluded: map[string]bool{}, runs: map[string]int{},
-		silence: time.NewTimer(time.Hour), callerLeaves: time.NewTimer(q.untilCallerLeaves()),
+		silence: time.NewTimer(time.Hour), hedge: newHedgeState(), callerLeaves: time.NewTimer(q.untilCallerLeaves()),
 		controller: http.NewResponseController(q.w),
 	}
 	// A handler that can't complete a response panics, so deferred calls end the
@@ -98,7 +100,9 @@
 		}
 		d.handleStandbyEnd()
 	case <-d.silence.C:
-		d.beginStandby(false)
+		d.handleSilence()
+	case <-d.hedge.timer.C:
+		d.beginHedge()
 	case <-d.callerLeaves.C:
 		d.answerBeforeCallerLeaves()
 	}
@@ -138,6 +142,7 @@
 // close ends the attempts that are still running.
 func (d *dispatcher) close() {
 	d.silence.Stop()
+	d.hedge.timer.Stop()
 	d.callerLeaves.Stop()
 	for _, a := range []*attempt{d.active, d.standby} {
 		if a == nil {
@@ -170,6 +175,7 @@
 	}
 	d.active = q.beginAttempt(d.ctx, choice)
 	d.watchSilence()
+	d.watchHedge()
 }
 
 // relayEvents writes complete events of the active attempt to the caller. The
@@ -179,6 +185,7 @@
 	a := d.active
 	if !a.hasEvents {
 		a.hasEvents, a.firstEventAt = true, d.q.relay.Now()
+		d.recordFirstEvent(a)
 	}
 	a.silences = 0
 	if !d.q.writeEvents(a, d.controller, events) {
@@ -200,6 +207,7 @@
 		q.logFailure(a, result)
 	}
 	q.reportCrashEvidence(a, result)
+	q.recordTime(a, result)
 	a.cancel(nil)
 	a.tracked.End(q.relay.Now(), balanceResult(result))
 	q.lastTarget = a.choice.Target.ID
@@ -245,6 +253,7 @@
 		d.finish(a, result)
 	case d.standby != nil:
 		d.countAttempt(a, result)
+		d.endHedge(d.standby, hedgeTookOver)
 		d.active, d.standby = d.standby, nil
 		d.watchSilence()
 	default:
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -44,6 +44,7 @@
 	a.responseMeta = relay.Codec.DecodeResponse(exchange.Response, target.ID)
 	exchange.SetIdleTimeout(a.responseMeta.KeepAlive)
 	q.recordTargetRequests(a)
+	q.reportLoad(a)
 	if a.responseMeta.RequestID != q.meta.ID {
 		exchange.Finish(false)
 		a.err = errors.Errorf("response has another request's ID %q", a.responseMeta.RequestID)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/hedge"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
@@ -86,6 +87,8 @@
 	Processes func() int
 	// Retries limits the requests that are sent more than once.
 	Retries *RetryBudgets
+	// Hedges decides on second copies of requests whose responses are late. Nil means none.
+	Hedges *hedge.Policy
 }
 
 // Relay is the http.Handler for callers.
--- a/pkg/relay/retries.go
+++ b/pkg/relay/retries.go
@@ -40,10 +40,25 @@
 	return b.serviceBudget(service, processes).TryRetry(time.Now())
 }
 
+// hedgeReserve is the fraction of a budget's burst that hedges leave for retries of failed requests.
+const hedgeReserve = 0.5
+
+// TryHedge consumes one retry of the service's budget for a hedge and reports whether the hedge is
+// allowed. It leaves the reserve for retries, unless the whole burst is a single retry.
+func (b *RetryBudgets) TryHedge(service string, processes int) bool {
+	budget, now := b.serviceBudget(service, processes), time.Now()
+	return budget.Level(now) >= hedgeReserve*b.processBurst(processes) && budget.TryRetry(now)
+}
+
+// processBurst returns one process's part of the burst.
+func (b *RetryBudgets) processBurst(processes int) float64 {
+	return max(1, usableBudgetFraction*b.burst/float64(max(1, processes)))
+}
+
 func (b *RetryBudgets) serviceBudget(service string, processes int) *schedule.RetryBudget {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	burst := max(1, usableBudgetFraction*b.burst/float64(max(1, processes)))
+	burst := b.processBurst(processes)
 	budget, ok := b.byService[service]
 	if !ok {
 		budget = schedule.NewRetryBudget(schedule.RetryBudgetSettings{Ratio: usableBudgetFraction * b.ratio, Burst: burst}, time.Now())
--- a/pkg/relay/standby.go
+++ b/pkg/relay/standby.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
 const (
@@ -34,10 +35,26 @@
 	case d.active.hasEvents:
 		d.silence.Reset(streamSilence)
 	default:
-		d.silence.Reset(max(minFirstByteSilence, firstByteSilenceFactor*route.FirstByteObjective))
+		d.silence.Reset(firstByteSilence(route))
 	}
 }
 
+// firstByteSilence returns the time without a first byte after which a second attempt begins.
+func firstByteSilence(route *fleet.Route) time.Duration {
+	return max(minFirstByteSilence, firstByteSilenceFactor*route.FirstByteObjective)
+}
+
+// handleSilence handles the silence timeout of the active attempt. A hedge that is running is its
+// second attempt already.
+func (d *dispatcher) handleSilence() {
+	if d.standby == nil {
+		d.beginStandby(false)
+		return
+	}
+	d.active.silences++
+	d.logSilence(d.standby.choice.Target.ID, "hedged")
+}
+
 // beginStandby starts a second attempt at another target, if one is allowed. The
 // active attempt goes on. hasRetry is set if a retry of the budget has been consumed
 // for it.
@@ -104,6 +121,7 @@
 	}
 	a := d.standby
 	d.standby = nil
+	d.endHedge(a, hedgeLost)
 	a.abandon(errSuperseded)
 	d.countAttempt(a, d.conclude(a))
 	d.keepSpare(a)
@@ -113,7 +131,8 @@
 func (d *dispatcher) promoteStandby() {
 	silent := d.active
 	d.active, d.standby = d.standby, nil
-	silent.abandon(errTargetSilent)
+	d.endHedge(d.active, hedgeWon)
+	silent.abandon(silent.replacedReason())
 	d.countAttempt(silent, d.conclude(silent))
 	d.keepSpare(silent)
 }
@@ -134,19 +153,30 @@
 	case completed:
 		silent := d.active
 		d.active = a
-		silent.abandon(errTargetSilent)
+		d.endHedge(a, hedgeWon)
+		silent.abandon(silent.replacedReason())
 		d.conclude(silent)
 		d.deliver(a)
 	case callerDisconnected, deadlineExceeded:
 		// The active attempt ends for the same reason.
 	case notRun:
+		d.endHedge(a, hedgeFailed)
 		d.countAttempt(a, result)
 		d.keepSpare(a)
+		if d.active.silences == 0 {
+			return
+		}
 		// Its target is the spare one now, and may be used at the next timeout.
 		d.active.silences = silencesBeforeSpare
 		d.silence.Reset(rejectedStandbyDelay)
 	default:
+		d.endHedge(a, hedgeFailed)
 		d.countAttempt(a, result)
+		if d.active.silences == 0 {
+			// The target isn't silent yet: a failed hedge waits for that like any request.
+			d.keepSpare(a)
+			return
+		}
 		d.replaceStandby(a, result)
 	}
 }
