--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -22,6 +22,7 @@
 	ReasonOverload     = "overload"
 	ReasonNearDeadline = "near_deadline"
 	ReasonNoGain       = "no_gain"
+	ReasonRareWins     = "rare_wins"
 	ReasonBudget       = "hedge_budget"
 	ReasonRetryBudget  = "retry_budget"
 )
@@ -154,8 +155,9 @@
 }
 
 // Take consumes a hedge of the service's budget and one retry, and returns why there is none;
-// empty if the copy may be sent. takeRetry consumes one retry of the service's retry budget.
-func (p *Policy) Take(now time.Duration, service string, takeRetry func() bool) string {
+// empty if the copy may be sent. isLast is set after the request's LastDelay. takeRetry consumes one
+// retry of the service's retry budget.
+func (p *Policy) Take(now time.Duration, route, service string, isLast bool, takeRetry func() bool) string {
 	if !p.Enabled() {
 		return ReasonBudget
 	}
@@ -163,15 +165,33 @@
 	defer p.mu.Unlock()
 	hedges := &p.service(now, service).budget
 	switch {
-	case hedges.level < 1:
+	case !isLast && !p.route(route).wins.isEnough(now):
+		return ReasonRareWins
+	case !hedges.allows(isLast):
 		return ReasonBudget
 	case !takeRetry():
 		return ReasonRetryBudget
 	}
-	hedges.take()
+	hedges.level--
 	return ""
 }
 
+// MayComeLater reports whether a copy that was refused for a reason may be sent after the request's
+// LastDelay.
+func MayComeLater(reason string) bool {
+	return reason == ReasonRareWins || reason == ReasonBudget || reason == ReasonNoGain
+}
+
+// RecordEnd records whether a hedge won: its response came first, or the first attempt failed.
+func (p *Policy) RecordEnd(now time.Duration, route string, won bool) {
+	if !p.Enabled() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.route(route).wins.add(now, won)
+}
+
 func (p *Policy) route(name string) *routeTimes {
 	r, ok := p.routes[name]
 	if !ok {
--- a/pkg/hedge/timing.go
+++ b/pkg/hedge/timing.go
@@ -20,15 +20,18 @@
 
 // Timing is what is known of a request's time at its beginning.
 type Timing struct {
-	// Delay is the time without a response after which a copy of the request may begin.
+	// Delay is the time without a response after which a copy of the request may begin, if copies
+	// of the route's requests usually win and the budget has more than its reserve.
 	Delay time.Duration
-	// Quantile is the quantile of the route's distribution that a request exceeds at Delay,
-	// unless the objective allows it more time.
+	// LastDelay is the time after which any hedge of the budget may be used, if none was sent
+	// after Delay.
+	LastDelay time.Duration
+	// Quantile is the quantile of the route's distribution at Delay.
 	Quantile float64
 	// ByExpectation is set if the distribution is that of the ratios of observed to expected
 	// times, and not that of the times.
 	ByExpectation bool
-	// scale converts the distribution's values to times for an expected time of one.
+	// typicalRatio and typicalTime are the medians of the ratios and of the times.
 	typicalRatio float64
 	typicalTime  time.Duration
 }
@@ -45,6 +48,7 @@
 type routeTimes struct {
 	times  distribution
 	ratios distribution
+	wins   winRate
 	usedAt time.Duration
 }
 
@@ -71,9 +75,14 @@
 	if timing.ByExpectation {
 		late, useful = scaled(expected, r.ratios.quantile(quantile)), scaled(expected, r.ratios.quantile(copyQuantile))
 	}
-	// A copy that begins later than objective-useful usually misses the objective; one that
-	// begins earlier is not needed for it.
-	timing.Delay = max(minDelay, late, objective-useful)
+	timing.Delay = max(minDelay, late)
+	// A copy that begins later than objective-useful usually misses the objective. If that is
+	// before Delay, the last hedge is for requests that are still late when a copy sent after Delay
+	// would usually have ended.
+	timing.LastDelay = objective - useful
+	if timing.LastDelay < timing.Delay {
+		timing.LastDelay = timing.Delay + timing.Typical(expected)
+	}
 	return timing, true
 }
 
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -28,6 +28,8 @@
 type hedgeState struct {
 	timer  *time.Timer
 	timing hedge.Timing
+	// isLast is set once a hedge was refused that may come after the last delay.
+	isLast bool
 }
 
 func newHedgeState() hedgeState {
@@ -61,6 +63,7 @@
 	d.logHedge(&choice, waited, reason)
 	if reason != "" {
 		q.relay.instruments.countHedgeRefusal(reason)
+		d.watchLastHedge(waited, reason)
 		return
 	}
 	q.relay.instruments.hedgesSent.Inc(1)
@@ -68,6 +71,17 @@
 	d.standby.hedgedAfter = waited
 }
 
+// watchLastHedge starts the timer for another decision on the hedge if one was refused for a reason
+// that may pass.
+func (d *dispatcher) watchLastHedge(waited time.Duration, reason string) {
+	last := d.hedge.timing.LastDelay
+	if d.hedge.isLast || !hedge.MayComeLater(reason) || last >= firstByteSilence(&d.q.route) {
+		return
+	}
+	d.hedge.isLast = true
+	d.hedge.timer.Reset(last - waited)
+}
+
 // chooseHedge chooses the target of a hedge and consumes a hedge of the budget, or returns why
 // there is none.
 func (d *dispatcher) chooseHedge(waited time.Duration) (choice balance.Choice, reason string) {
@@ -91,7 +105,7 @@
 	if reason = d.hedge.timing.Refusal(q.describeCopy(&choice, waited)); reason != "" {
 		return choice, reason
 	}
-	return choice, policy.Take(q.relay.Now(), q.service, func() bool {
+	return choice, policy.Take(q.relay.Now(), q.route.Name, q.service, d.hedge.isLast, func() bool {
 		return q.relay.Retries.TryHedge(q.service, q.relay.Processes())
 	})
 }
@@ -112,7 +126,7 @@
 	}
 	q.relay.Log.Log(eventlog.HedgeDecided, "request_id", q.meta.ID, "route", q.route.Name, "try", d.active.number,
 		"target", d.active.choice.Target.ID, "hedge", target, "reason", reason, "waited_ms", waited.Milliseconds(),
-		"delay_ms", timing.Delay.Milliseconds(), "quantile", timing.Quantile, "by_expectation", timing.ByExpectation,
+		"delay_ms", timing.Delay.Milliseconds(), "last_delay_ms", timing.LastDelay.Milliseconds(), "last", d.hedge.isLast, "quantile", timing.Quantile, "by_expectation", timing.ByExpectation,
 		"expected_ms", d.active.choice.ExpectedTTFB.Milliseconds(), "hedge_expected_ms", choice.ExpectedTTFB.Milliseconds(),
 		"left_ms", q.remaining().Milliseconds())
 }
@@ -132,6 +146,7 @@
 		q.relay.instruments.hedgeSaved.RecordDuration(saved)
 	}
 	q.relay.instruments.hedges[outcome].Inc(1)
+	q.relay.Hedges.RecordEnd(q.relay.Now(), q.route.Name, outcome == hedgeWon || outcome == hedgeTookOver)
 	q.relay.Log.Log(eventlog.HedgeEnded, "request_id", q.meta.ID, "route", q.route.Name, "try", a.number, "target", a.choice.Target.ID,
 		"outcome", string(outcome), "waited_ms", waited.Milliseconds(), "took_ms", took.Milliseconds(), "saved_ms", saved.Milliseconds())
 }
