Check of a deployment's configuration: baobab config check deployment

Cause: a mistake in a configuration showed only when requests failed. Tests: go test ./platform -run ConfigurationC, go test -race ./pkg/cli -run 'CheckDeployment|HedgeShare' passed. FuzzConfigurationCheck ran 41 s with 11 executions only, since it was minimizing; it needs another run.

--- a/pkg/cli/baobab.go
+++ b/pkg/cli/baobab.go
@@ -13,9 +13,9 @@
 )
 
 // NewOperatorApp returns the command-line app of baobab.
-func NewOperatorApp() *cli.App {
+func NewOperatorApp(platform OperatorPlatform) *cli.App {
 	app := newApp("baobab", "approve, roll and withdraw bundles; try and measure the system", os.Stdout)
-	app.Commands = append(operatorCommands(), demoCommand(), configCommand(), eventsCommand(), benchCommand())
+	app.Commands = append(operatorCommands(), demoCommand(), configCommand(platform), eventsCommand(), benchCommand())
 	return app
 }
 
@@ -30,17 +30,19 @@
 	}
 }
 
-func configCommand() *cli.Command {
+func configCommand(platform OperatorPlatform) *cli.Command {
 	return &cli.Command{
 		Name:  "config",
-		Usage: "check settings files",
+		Usage: "check settings files and configurations",
 		Subcommands: []*cli.Command{
 			{
 				Name:      "check",
-				Usage:     "report all problems of a settings file",
-				UsageText: "baobab config check router router.json\nbaobab config check agent agent.json",
+				Usage:     "report all problems of a settings file, or of a deployment's configuration",
+				UsageText: "baobab config check router router.json\nbaobab config check agent agent.json\nbaobab config check deployment config.json --in-force current.json",
 				ArgsUsage: "router|agent FILE",
 				Action:    checkConfig,
+
+				Subcommands: []*cli.Command{deploymentCheckCommand(platform)},
 			},
 			{
 				Name:  "reference",
@@ -56,7 +58,7 @@
 
 func checkConfig(c *cli.Context) error {
 	if c.NArg() != 2 {
-		return usageError{errors.New("want a kind, router or agent, and a file")}
+		return usageError{errors.New("want a kind, router, agent or deployment, and a file")}
 	}
 	var err error
 	switch kind, file := c.Args().Get(0), c.Args().Get(1); kind {
@@ -65,7 +67,7 @@
 	case "agent":
 		_, err = config.LoadAgent(file)
 	default:
-		err = errors.Errorf("unknown kind %q: want router or agent", kind)
+		err = errors.Errorf("unknown kind %q: want router, agent or deployment", kind)
 	}
 	if err != nil {
 		return usageError{err}
--- a/pkg/cli/operate_test.go
+++ b/pkg/cli/operate_test.go
@@ -18,6 +18,7 @@
 	"github.com/baobabhub/baobabhub/pkg/fake/kvfake"
 	"github.com/baobabhub/baobabhub/pkg/fake/loopback"
 	"github.com/baobabhub/baobabhub/pkg/localfleet"
+	"github.com/baobabhub/baobabhub/platform"
 )
 
 // commandResult holds the output and the exit code of a command. The returned
@@ -30,7 +31,7 @@
 // runCommand runs baobab with arguments in this process.
 func runCommand(arguments ...string) commandResult {
 	var stdout, stderr bytes.Buffer
-	app := NewOperatorApp()
+	app := NewOperatorApp(OperatorPlatform{DecodeDocument: platform.DecodeDocument})
 	app.Writer, app.ErrWriter, app.Reader = &stdout, &stderr, &bytes.Buffer{}
 	err := app.RunContext(context.Background(), append([]string{"baobab"}, arguments...))
 	if err == nil {
