--- a/pkg/configcheck/finding.go
+++ b/pkg/configcheck/finding.go
@@ -9,11 +9,11 @@
 type Severity string
 
 const (
-	// SeverityError: the configuration is ignored, or requests fail that should be served.
+	// SeverityError means that the configuration is ignored, or that requests fail that should be served.
 	SeverityError Severity = "error"
-	// SeverityWarning: an entry has no effect or contradicts another one, or callers lose something.
+	// SeverityWarning means that an entry has no effect or contradicts another one, or callers lose something.
 	SeverityWarning Severity = "warning"
-	// SeverityNote: nothing is wrong.
+	// SeverityNote means that nothing is wrong.
 	SeverityNote Severity = "note"
 )
 
