--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -45,6 +45,9 @@
 	silences int
 	// isFirstByteRecorded is set once the first byte has been recorded.
 	isFirstByteRecorded bool
+	// hedgedAfter is the time for which the active attempt had no response when this one began as
+	// its hedge; 0 if this is none.
+	hedgedAfter time.Duration
 
 	// isConnKept is set if the connection to the target had been used before.
 	isConnKept bool
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/baobabhub/baobabhub/pkg/call"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/hedge"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
@@ -95,6 +96,8 @@
 	// OverloadControl makes requests wait, or refuses them, while the engines of their service
 	// can't serve them in time.
 	OverloadControl bool
+	// Hedges decides on second copies of requests whose responses are late. Nil means none.
+	Hedges *hedge.Policy
 }
 
 // Relay is the http.Handler for callers.
