--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -201,10 +201,8 @@
 	e.quarantine = newQuarantineKeeper(e)
 	e.streamOrigins = newStreamOrigins(e)
 	e.software = newSoftwareKeeper(e)
-	var versionRollouts relay.VersionRollouts
 	if settings.VersionRollouts {
 		e.canary = newCanaryKeeper(e)
-		versionRollouts = e.canary
 	}
 	var err error
 	e.gossip, err = gossip.New(gossip.Config{
@@ -222,8 +220,14 @@
 		e.drainReports.request()
 		e.rollouts.requestPlan()
 	})
-	e.relay = relay.New(relay.Config{
-		Codec: platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools, Buffers: e.memory.responses, Bodies: e.memory.intake, WriteTimeout: settings.CallerWriteTimeout,
+	e.relay = e.newRelay()
+	return e, nil
+}
+
+// newRelay returns the handler for callers.
+func (e *Entry) newRelay() *relay.Relay {
+	config := relay.Config{
+		Codec: e.platform.Codec, Balancer: e.balancer, Limiter: e.limiter, Pools: e.pools, Buffers: e.memory.responses, Bodies: e.memory.intake, WriteTimeout: e.settings.CallerWriteTimeout,
 		Log: e.log, Metrics: e.metrics.Scope, Now: e.uptime,
 		CurrentConfig: e.config.Load,
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
@@ -231,18 +235,21 @@
 		OnEnded:       e.ended.observe,
 		OnLimit:       e.recordLimit,
 		Quarantine:    e.quarantine,
-		StreamOrigins: e.streamOrigins, VersionRollouts: versionRollouts,
-		RunQuery:     platform.RunQuery,
-		Stopping:     e.stopping.Load,
-		Refusing:     e.refusing.Load,
-		DrainExpired: e.drainExpired,
-		Processes:    e.members.processCount,
-		Retries:      relay.NewRetryBudgets(settings.RetryRatio, settings.RetryBurst),
-		Hedges:       hedge.New(settings.HedgeShare),
+		StreamOrigins: e.streamOrigins,
+		RunQuery:      e.platform.RunQuery,
+		Stopping:      e.stopping.Load,
+		Refusing:      e.refusing.Load,
+		DrainExpired:  e.drainExpired,
+		Processes:     e.members.processCount,
+		Retries:       relay.NewRetryBudgets(e.settings.RetryRatio, e.settings.RetryBurst),
+		Hedges:        hedge.New(e.settings.HedgeShare),
 
-		OverloadControl: settings.OverloadControl,
-	})
-	return e, nil
+		OverloadControl: e.settings.OverloadControl,
+	}
+	if e.canary != nil {
+		config.VersionRollouts = e.canary
+	}
+	return relay.New(config)
 }
 
 // markEnded records that a run of a target has ended, and reports whether that was not known.
