--- a/pkg/canary/simulation_test.go
+++ b/pkg/canary/simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 )
@@ -191,7 +192,10 @@
 	}
 }
 
-var plays = flag.Int("canary.plays", 40, "rollouts simulated for each case")
+var (
+	plays    = flag.Int("canary.plays", 40, "rollouts simulated for each case")
+	onlyCase = flag.String("canary.case", "", "simulate only cases whose name contains this")
+)
 
 // rateCase is a kind of version, with the rates that are required of it where the evidence that the bounds
 // allow suffices for them; docs/design/canary-rollouts.md says where it doesn't.
@@ -230,6 +234,9 @@
 // than the requirements allow, and against bad ones that break the bounds.
 func TestErrorRates(t *testing.T) {
 	for _, c := range rateCases {
+		if !strings.Contains(c.name, *onlyCase) {
+			continue
+		}
 		rates := c.perSecond
 		if rates == nil {
 			rates = []float64{150, 350, 550}
