--- a/pkg/canary/timing.go
+++ b/pkg/canary/timing.go
@@ -7,8 +7,9 @@
 	slowQuantile = 0.8
 	// minTimings is the number of the old version's times without which no run is compared.
 	minTimings = 5
-	// maxTimings is the number of times at which all counts are halved, so that old times fade.
-	maxTimings = 400
+	// maxTimings is the number of times at which all counts are halved, so that the quantile
+	// follows the load.
+	maxTimings = 100
 	// bucketsPerDoubling is the resolution of the times: 9%.
 	bucketsPerDoubling = 8
 	// minExponent is the binary logarithm of the smallest time or ratio that is told apart.
