--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -78,7 +78,10 @@
 	CacheSalt string
 	// ExpectedTTFB is the expected time to the first byte.
 	ExpectedTTFB time.Duration
-	// estimate holds what the expected time rests on, if learned delays apply.
+	// QueuedTokens is the number of prompt tokens ahead of the request, and DrainRate the
+	// number that the target processes per millisecond, as ExpectedTTFB assumes.
+	QueuedTokens, DrainRate float64
+	// estimate holds what else the expected time rests on, if learned delays apply.
 	estimate estimate
 	// PrefillTokens is the number of prompt tokens that the target has to process.
 	// Imported tokens count at their lower cost.
@@ -304,16 +307,18 @@
 
 // lowestScore returns the choice with the lowest score among the candidates.
 func (b *Balancer) lowestScore(now time.Duration, req *Request, candidates []candidate) Choice {
+	remotePenalty := crossDataCentrePenalty
 	if stats := b.serviceStats(req.Service); req.Model != "" && b.isAdaptive(stats) {
 		b.estimateQueues(now, stats, candidates)
 		setSpeedClasses(candidates)
+		remotePenalty = b.remotePenalty(candidates)
 	}
 	preferred := b.affinity(now, req, candidates)
 	stored := map[string]storeMatch{}
 	var best Choice
 	var bestScore time.Duration
 	for i := range candidates {
-		choice, score := b.score(now, req, candidates, i, preferred, stored)
+		choice, score := b.score(now, req, candidates, i, preferred, stored, remotePenalty)
 		score += b.spreadPenalty(req, candidates, i, preferred)
 		if req.MaxExpectedTTFB > 0 && choice.ExpectedTTFB > req.MaxExpectedTTFB {
 			score += excessTTFBPenalty
--- a/pkg/balance/liveness.go
+++ b/pkg/balance/liveness.go
@@ -103,6 +103,7 @@
 	if b.lastReportAt > 0 && now-b.lastReportAt > pauseThreshold {
 		b.resumedAt = now
 	}
+	b.updateMeanBacklogs(now, now-b.lastReportAt)
 	b.lastReportAt = now
 	b.reportCount++
 }
--- a/pkg/balance/score.go
+++ b/pkg/balance/score.go
@@ -73,7 +73,7 @@
 // score returns the choice for candidates[index] and its score, which is the
 // expected time to the first byte plus penalties. stored caches by salt what the
 // cache stores hold of the request's prompt.
-func (b *Balancer) score(now time.Duration, req *Request, candidates []candidate, index int, preferred affinity, stored map[string]storeMatch) (Choice, time.Duration) {
+func (b *Balancer) score(now time.Duration, req *Request, candidates []candidate, index int, preferred affinity, stored map[string]storeMatch, remotePenalty time.Duration) (Choice, time.Duration) {
 	c := &candidates[index]
 	stats := b.serviceStats(req.Service)
 	choice := Choice{Target: *c.target, Version: c.version, LoadAge: -1}
@@ -88,6 +88,7 @@
 	choice.PrefillTokens = work
 	e := b.expectedDelay(now, req, c, stats, work)
 	choice.estimate = e
+	choice.QueuedTokens, choice.DrainRate = e.queuedTokens, e.rate
 	expected := e.delay
 	if choice.Import == ImportFromStore {
 		expected += stored[choice.CacheSalt].importDelay
@@ -96,7 +97,7 @@
 	choice.ExpectedTTFB = expected
 	score := expected - e.delay + e.cost + prefillTime(recomputePenalty*recomputed, e.rate)
 	if c.target.DataCentre != b.dataCentre {
-		score += crossDataCentrePenalty
+		score += remotePenalty
 	}
 	if b.versionHistory(req.Model).Staleness(now, c.version) > staleWeightsGrace {
 		score += staleWeightsPenalty
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -60,6 +60,8 @@
 	// class of the rate among the targets of its service.
 	drain      decayedSums
 	speedClass int
+	// meanBacklog is a moving average of the backlog of all processes.
+	meanBacklog float64
 	// ownPace is the latest figure of how long work takes that this process received.
 	ownPace observedPace
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -85,6 +85,7 @@
 	choice := &a.choice
 	q.relay.Log.Log(eventlog.AttemptBegun, "request_id", q.meta.ID, "route", q.route.Name, "account", q.accountName(),
 		"try", a.number, "target", choice.Target.ID, "weights", choice.Version, "expected_ms", choice.ExpectedTTFB.Milliseconds(),
+		"queued_tokens", int64(choice.QueuedTokens), "tokens_per_ms", int64(choice.DrainRate),
 		"cached_tokens", choice.CachedTokens, "import", choice.Import.String(), "import_from", choice.ImportAddress, "save", choice.SaveToStore, "prompt_tokens", q.meta.PromptTokens,
 		"prefix", strconv.FormatUint(choice.Prefix, 16), "primary", choice.Primary, "recomputed_tokens", choice.RecomputedTokens, "candidates", choice.Candidates,
 		"load_age_ms", choice.LoadAge.Milliseconds(), "config", q.config.Version, "left_ms", q.remaining().Milliseconds(),
