The choice of a target copies its candidates only where a filter drops one

Cause: each of the filter's steps copied all candidates, which learned estimates made larger. Tests: BenchmarkPick with 45 targets on the shared machine: 34 us (was 277) with the assumed rate, 53 us (316) with learned ones. pkg/balance, relay and entry are green (without -race); the linter is clean.

--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -146,9 +146,19 @@
 	return !r.Excluded[target.ID]
 }
 
+// selectCandidates returns the candidates that satisfy ok. In the usual case that all do, it
+// copies nothing.
 func selectCandidates(list []candidate, ok func(*candidate) bool) []candidate {
-	var selected []candidate
-	for i := range list {
+	first := 0
+	for first < len(list) && ok(&list[first]) {
+		first++
+	}
+	if first == len(list) {
+		return list
+	}
+	selected := make([]candidate, first, len(list))
+	copy(selected, list)
+	for i := first + 1; i < len(list); i++ {
 		if ok(&list[i]) {
 			selected = append(selected, list[i])
 		}
