An answer without a length that ends as its target crashes is not complete

Cause: a response without a length ends with its connection. A target that crashes half-way ends it in the same way, and the caller got half an answer with status 200 (TestBrokenUnframedAnswer, red on the code before for an answer and for a stream).

Change: when such a response ends, the process takes another connection to the target, which it keeps for the next request. If the target refuses it, and is not known to be leaving, the attempt has failed: a resumable stream goes on elsewhere, other requests get 502 or a broken connection.

Tests: TestBrokenUnframedAnswer, TestCrashesOfUnframedTargets, pkg/relay, pkg/targetconn, pkg/entry green with -race.

--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -76,6 +76,10 @@
 		return failed
 	}
 	a.exchange.Finish(true)
+	if err := q.checkEnd(a); err != nil {
+		a.err = err
+		return failed
+	}
 	a.tracked.RecordFirstByte(q.relay.Now())
 	a.body = body
 	return completed
@@ -91,6 +95,10 @@
 		return failed
 	}
 	a.exchange.Finish(true)
+	if err := q.checkEnd(a); err != nil {
+		a.err = err
+		return failed
+	}
 	a.body = body
 	return targetError
 }
--- a/pkg/relay/stream.go
+++ b/pkg/relay/stream.go
@@ -40,6 +40,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
+			if err := q.checkEnd(a); err != nil {
+				return q.failStream(a, err)
+			}
 			a.exchange.Finish(true)
 			return completed
 		case err != nil:
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -74,7 +74,8 @@
 	stopCancelWatch func() bool
 }
 
-// IsKept reports whether the connection has carried a request before.
+// IsKept reports whether the connection was idle before its request: it has carried another one, or was
+// opened earlier.
 func (c *Conn) IsKept() bool { return !c.idleSince.IsZero() }
 
 // RunChecked reports whether the connection is known to lead to the run of the target that it was
@@ -215,6 +216,9 @@
 	c.pool.putIdle(c)
 }
 
+// Return returns a connection on which nothing has been sent since Get to its pool.
+func (c *Conn) Return() { c.pool.putIdle(c) }
+
 // Close closes the connection and decrements the pool's number of open
 // connections.
 func (c *Conn) Close() {
