Stalled bodies are given up while memory is refused to other callers

Cause: bodies of up to 64 KiB that stop before their end could keep all the memory of callers until the idle timeout or the deadlines of their requests.

Without a refusal only the configured times apply. Metric caller_bodies_stopped.

--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -61,6 +61,10 @@
 	// writeDeadline is the write deadline that a handler has set; zero if it set none.
 	writeDeadline time.Time
 	closed        bool
+	// lastRead is the time of the latest bytes that were read.
+	lastRead time.Time
+	// bodyStopped is set when the body that is being read is given up.
+	bodyStopped bool
 	// memory, head and request are the memory of the connection, of the header that is
 	// being read or handled, and of its handling.
 	memory, head, request *membudget.Claim
@@ -105,6 +109,7 @@
 		c.beginPhase(readingHeader)
 	}
 	c.headerBytes += len(p)
+	c.lastRead = time.Now()
 	// This restores the deadline that extendDeadline may have removed. It fails only
 	// on a closed connection.
 	_ = c.setDeadline()
@@ -161,6 +166,9 @@
 		}
 		return earlier(deadline, drain.refuseAt)
 	default:
+		if c.bodyStopped && !c.handlerDeadline.IsZero() {
+			return c.lastRead
+		}
 		if c.handlerDeadline.IsZero() || drain.refuseAt.IsZero() {
 			return c.handlerDeadline
 		}
@@ -244,6 +252,7 @@
 	defer c.mu.Unlock()
 	c.requestID = id
 	c.hasServed = true
+	c.bodyStopped = false
 	c.writeDeadline = time.Time{}
 	c.beginPhase(handling)
 }
--- a/pkg/callerserver/meters.go
+++ b/pkg/callerserver/meters.go
@@ -9,6 +9,8 @@
 	conns tally.Gauge
 	// refused and evicted count connections that the limit has closed.
 	refused, evicted tally.Counter
+	// stopped counts bodies that were given up.
+	stopped tally.Counter
 }
 
 func newMeters(scope tally.Scope, server string) meters {
@@ -17,7 +19,8 @@
 	}
 	scope = scope.Tagged(map[string]string{"server": server})
 	return meters{scope: scope, conns: scope.Gauge("caller_conns"),
-		refused: scope.Counter("caller_conns_refused"), evicted: scope.Counter("caller_conns_evicted")}
+		refused: scope.Counter("caller_conns_refused"), evicted: scope.Counter("caller_conns_evicted"),
+		stopped: scope.Counter("caller_bodies_stopped")}
 }
 
 // countRefusal counts a request that was refused because of its header. There are few
--- a/pkg/callerserver/server.go
+++ b/pkg/callerserver/server.go
@@ -53,7 +53,8 @@
 	// MaxConns is the largest number of connections; 0 means no limit.
 	MaxConns int
 	// Memory bounds the memory of connections, headers and their handling; nil means no
-	// bound.
+	// bound. Only one server may use a budget. When it refuses memory, the server gives up
+	// bodies that have stalled.
 	Memory *membudget.Budget
 	// WriteTimeout is the longest time for the write of each writePartBytes to a caller,
 	// unless the handler sets a deadline; 0 means the default.
@@ -71,6 +72,8 @@
 	cut    atomic.Int64
 	meters meters
 	places places
+	// relieving is set while stalled bodies are being given up.
+	relieving atomic.Bool
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -91,6 +94,7 @@
 // New returns a Server with the given dependencies.
 func New(config Config) *Server {
 	s := &Server{config: config, meters: newMeters(config.Metrics, config.Name), conns: map[*conn]struct{}{}, acceptEnded: make(chan struct{})}
+	config.Memory.OnRefused(s.relieve)
 	s.http = &http.Server{
 		Handler:        s.handler(),
 		MaxHeaderBytes: maxHeaderBytes,
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -38,6 +38,8 @@
 	largeLimit int64
 	// whole is the budget of which this one is a part; nil if it is none.
 	whole *Budget
+	// onRefused is called when the budget refuses memory; it may be nil.
+	onRefused func()
 
 	mu   sync.Mutex
 	used int64
@@ -58,6 +60,14 @@
 	return &Budget{limit: limit, largeLimit: largeLimit, whole: b}
 }
 
+// OnRefused sets a function that is called whenever the budget refuses memory. It must be
+// set before the budget is used, and must not block.
+func (b *Budget) OnRefused(f func()) {
+	if b != nil {
+		b.onRefused = f
+	}
+}
+
 // Limit returns the budget in bytes; 0 for an unlimited one.
 func (b *Budget) Limit() int64 {
 	if b == nil {
@@ -84,9 +94,17 @@
 // reserve adds size bytes to a buffer or a claim that keeps held bytes in addition, and
 // reports whether the budget allows it.
 func (b *Budget) reserve(size, held int64) bool {
-	if b == nil {
+	if b == nil || b.tryReserve(size, held) {
 		return true
 	}
+	if b.onRefused != nil {
+		b.onRefused()
+	}
+	return false
+}
+
+// tryReserve is reserve without a report of a refusal.
+func (b *Budget) tryReserve(size, held int64) bool {
 	limit := b.limit
 	if size+held > smallBufferBytes {
 		limit = b.largeLimit
