Overload control ranks requests by account and then by route

Cause: an account's priority replaced the route's, so all requests were of one class for the queue and for the engines. Change: with overload control, a request's class is its rank by the account's priority and then by the route's; engines get it as the request's priority. Without it nothing changes.

--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -44,6 +44,8 @@
 	accounts map[string]*Account
 	keys     map[string]*Account
 	stores   []string
+	// ranks holds the position of each urgency among those that requests may have.
+	ranks map[urgency]int
 }
 
 // ClientLimits holds the limits on the requests of callers.
@@ -160,6 +162,7 @@
 		c.keys[key] = c.accounts[name]
 	}
 	c.Isolation = isolationOf(accounts)
+	c.ranks = rankUrgencies(routes, accounts)
 	return c
 }
 
--- a/pkg/relay/overloadlimit.go
+++ b/pkg/relay/overloadlimit.go
@@ -23,12 +23,8 @@
 	}
 	*s = serviceClasses{config: config, weight: defaultAccountWeight}
 	routes := config.RoutesTo(service)
-	priorities := map[int]bool{}
 	total, count := 0.0, 0
 	config.EachAccount(func(account *fleet.Account) {
-		if account.HasPriority {
-			priorities[clampPriority(account.Priority)] = true
-		}
 		if account.TokensPerSecond > 0 && !account.CountsRequests {
 			total += account.TokensPerSecond
 			count++
@@ -38,18 +34,21 @@
 		s.weight = total / float64(count)
 	}
 	for i := range routes {
-		class := loadshed.Class{Priority: clampPriority(routes[i].Priority), Objective: routes[i].FirstByteObjective, Timeout: routes[i].Timeout}
-		s.classes = append(s.classes, class)
-		// Accounts with their own priority may use any route.
-		for priority := range priorities {
-			class.Priority = priority
-			s.classes = append(s.classes, class)
+		for _, rank := range config.RouteRanks(&routes[i]) {
+			s.classes = append(s.classes, loadshed.Class{
+				Priority: clampPriority(rank), Objective: routes[i].FirstByteObjective, Timeout: routes[i].Timeout,
+			})
 		}
 	}
 }
 
-// priority returns the request's priority as engines know it: that of its account, if that has one.
+// priority returns the request's priority as engines know it: that of its account, if that has
+// one. With overload control it is the request's rank among all requests, so that the routes'
+// priorities decide among accounts of the same priority.
 func (q *request) priority() int {
+	if q.relay.OverloadControl {
+		return clampPriority(q.config.Rank(&q.route, q.account))
+	}
 	if q.account != nil && q.account.HasPriority {
 		return clampPriority(q.account.Priority)
 	}
