A new run of a target begins without the speed of the earlier one

Cause: samples and figures of peers are kept by the target's identifier, which a restart keeps. Tests: TestDrainRate has the example; pkg/balance is green with -race, the linter is clean.

--- a/pkg/balance/drain_test.go
+++ b/pkg/balance/drain_test.go
@@ -142,6 +142,20 @@
 			So(rate(now), ShouldBeBetween, 40, 50)
 		})
 	})
+	Convey("A new run of a target begins with the rate of its service", t, func() {
+		b, targets := newBalancer("dc0"), engines(1)
+		rate := func() float64 {
+			return b.targetState(targets[0].Boot()).drainRate(time.Second, b.serviceStats("s").drainRate(time.Second))
+		}
+		targets[0].StartUnixMS = 1
+		So(rate(), ShouldEqual, initialPrefillRate)
+		report(b, time.Second, "p", TargetLoad{InFlight: 1, Drain: DrainSums{Tokens: 80_000, MS: 2000}})
+		So(rate(), ShouldBeLessThan, 50)
+		targets[0].StartUnixMS = 2
+		So(rate(), ShouldEqual, initialPrefillRate)
+		report(b, time.Second, "p", TargetLoad{InFlight: 1, Drain: DrainSums{Tokens: 80_000, MS: 2000}})
+		So(rate(), ShouldBeLessThan, 50)
+	})
 	Convey("Of two targets, the faster one is the primary target of more prefixes", t, func() {
 		candidates := make([]candidate, 2)
 		for i := range candidates {
--- a/pkg/balance/liveness.go
+++ b/pkg/balance/liveness.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+)
 
 const (
 	// progressTimeout is the time without any bytes from a target, to any process, after
@@ -31,6 +35,8 @@
 // fleetTarget is what this process knows of a target from its own requests and from
 // its peers.
 type fleetTarget struct {
+	// startUnixMS is the start of the target's latest run that this process knows.
+	startUnixMS int64
 	// peers is the sum of the loads that the peers report.
 	peers TargetLoad
 	// peerDrain is the sum of the peers' samples of the target's drain rate.
@@ -97,6 +103,22 @@
 	return f
 }
 
+// beginRun drops what is known of the speed of a target's earlier run.
+func (b *Balancer) beginRun(boot fleet.Boot) {
+	key := KeyOf(boot.ID)
+	f := b.fleetTarget(key)
+	if boot.StartUnixMS <= f.startUnixMS {
+		return
+	}
+	if f.startUnixMS > 0 {
+		f.peerDrain, f.pace = decayedSums{}, observedPace{}
+		for _, report := range b.peerLoads {
+			delete(report.drains, key)
+		}
+	}
+	f.startUnixMS = boot.StartUnixMS
+}
+
 // recordReport records that this process reports its loads to its peers, which it does
 // at short intervals unless it is paused.
 func (b *Balancer) recordReport(now time.Duration) {
--- a/pkg/balance/state.go
+++ b/pkg/balance/state.go
@@ -120,6 +120,7 @@
 func (b *Balancer) targetState(boot fleet.Boot) *targetState {
 	s, ok := b.targetStates[boot]
 	if !ok {
+		b.beginRun(boot)
 		s = &targetState{loadReportedAt: -1, heardAt: -1, fleet: b.fleetTarget(KeyOf(boot.ID))}
 		b.targetStates[boot] = s
 	}
