test/callers: the test binary contains the entry process

Cause: the test binary didn't contain the program that it tests, so that go test kept the result of an older one (seen: a cached result after a product change).

Change: without the race detector the test binary itself runs as the entry process; with it, baobab-entry is built without the detector as before. Crowds and bounds are unchanged.

--- /dev/null
+++ b/test/callers/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package callers
+
+// raceEnabled is set in a test binary with the race detector.
+const raceEnabled = true
--- a/test/callers/world_test.go
+++ b/test/callers/world_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/baobabhub/baobabhub/pkg/cli"
 	"github.com/baobabhub/baobabhub/platform"
 	"github.com/baobabhub/baobabhub/platform/platformfake"
 )
@@ -37,11 +38,24 @@
 	descriptorInterval = 20 * time.Millisecond
 )
 
-// executable is the path of the entry process's program. It is built without the race
-// detector, whose own memory would count.
+// entryProcessEnv is the environment variable that makes the test binary run as an entry
+// process.
+const entryProcessEnv = "BAOBAB_CALLERS_ENTRY"
+
+// executable is the path of the entry process's program: the test binary itself, or
+// baobab-entry if the test binary has the race detector, whose memory would count. The
+// binary contains the program in both cases, so that go test keeps no result of an older one.
 var executable string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
+func TestMain(m *testing.M) {
+	if os.Getenv(entryProcessEnv) != "" {
+		cli.Main(cli.NewEntryApp(cli.EntryPlatform{
+			SettingsPath: os.Getenv(platform.SettingsVariable), LoadSettings: platform.LoadSettings, NewAdapter: platform.New,
+		}))
+		return
+	}
+	os.Exit(run(m))
+}
 
 func run(m *testing.M) int {
 	directory, err := os.MkdirTemp("", "callers")
@@ -50,15 +64,26 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	executable = filepath.Join(directory, "baobab-entry")
-	build := exec.Command("go", "build", "-o", executable, "github.com/baobabhub/baobabhub/cmd/baobab-entry")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "building the entry process: %v\n%s", err, output)
+	if executable, err = program(directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
 }
 
+// program returns the path of the entry process's program. It may write to a directory.
+func program(directory string) (string, error) {
+	if !raceEnabled {
+		return os.Executable()
+	}
+	path := filepath.Join(directory, "baobab-entry")
+	build := exec.Command("go", "build", "-o", path, "github.com/baobabhub/baobabhub/cmd/baobab-entry")
+	if output, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building the entry process: %w\n%s", err, output)
+	}
+	return path, nil
+}
+
 // world is an entry process with a fake store and a fake target.
 type world struct {
 	t             *testing.T
@@ -126,7 +151,7 @@
 	w.requireNoError(err)
 	defer func() { _ = logFile.Close() }()
 	w.cmd = exec.Command(executable)
-	w.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+settingsPath)
+	w.cmd.Env = append(os.Environ(), entryProcessEnv+"=1", platform.SettingsVariable+"="+settingsPath)
 	w.cmd.Stdout, w.cmd.Stderr = logFile, logFile
 	w.requireNoError(w.cmd.Start())
 	exited := make(chan struct{})
