Test of the reserve of hedges

Tests: go test -race ./platform (whole package, 420 s), ./pkg/hedge, ./pkg/relay, ./pkg/cli, ./pkg/entry and ./pkg/eventlog passed; go vet ./... and the linter on the changed packages are clean; GOARCH=arm64 go build ./... succeeds.

--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -61,6 +61,18 @@
 		}
 		So(hedges, ShouldEqual, fleetBurst/processes)
 	})
+	Convey("Requests that are a little late leave the reserve to those that are very late", t, func() {
+		policy, hedges := New(0.2), 0
+		for range 100_000 {
+			policy.RecordRequest(0, "s", 103)
+		}
+		for hedges < 1000 && policy.Take(0, "r", "s", false, alwaysRetry) == "" {
+			hedges++
+		}
+		So(hedges, ShouldEqual, 1)
+		So(policy.Take(0, "r", "s", true, alwaysRetry), ShouldBeEmpty)
+		So(policy.Take(0, "r", "s", true, alwaysRetry), ShouldEqual, ReasonBudget)
+	})
 }
 
 // TestQuantile guards against a distribution whose quantiles differ from those of its samples by
