--- a/pkg/balance/adaptive_test.go
+++ b/pkg/balance/adaptive_test.go
@@ -70,7 +70,7 @@
 				}
 			}
 			So(used, ShouldEqual, 45)
-			So(most, ShouldBeLessThan, 3*total/45)
+			So(45*most, ShouldBeLessThan, 3*total)
 		})
 	}
 	Convey("With more work than the targets can do, the expected times follow the queues", t, func() {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -61,6 +62,8 @@
 	// IsBuffered is set if the first byte of the response counts only when all of it has
 	// arrived.
 	IsBuffered bool
+	// ExcludeLimited excludes the targets that name rate limits.
+	ExcludeLimited bool
 	// MaxExpectedTTFB is the longest acceptable expected time to the first byte;
 	// 0 means no limit.
 	MaxExpectedTTFB time.Duration
@@ -377,4 +380,7 @@
 			delete(b.fleetTargets, key)
 		}
 	}
+	for _, report := range b.peerLoads {
+		maps.DeleteFunc(report.drains, func(key TargetKey, _ decayedSums) bool { return b.fleetTargets[key] == nil })
+	}
 }
--- a/pkg/balance/drain_test.go
+++ b/pkg/balance/drain_test.go
@@ -123,6 +123,21 @@
 			}
 			So(rate(now), ShouldBeBetween, 30, 50)
 		})
+		Convey("a process reports its own samples to its peers", func() {
+			for range 10 {
+				tracked := send(now)
+				now += 400 * time.Millisecond
+				tracked.RecordFirstByte(now)
+				tracked.End(now, Succeeded)
+			}
+			other := newBalancer("dc0")
+			other.SetAdaptive(true)
+			other.targetState(targets[0].Boot())
+			for range drainReportCycle {
+				other.SetPeerLoads(now, "peer", b.LocalLoads(now))
+			}
+			So(other.fleetTarget(KeyOf("e0")).peerDrain.current(now).MS, ShouldBeGreaterThan, 0)
+		})
 		Convey("requests that are cancelled after more than the expected time lower it", func() {
 			for range 10 {
 				tracked := send(now)
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -56,7 +56,7 @@
 	if len(eligible) == 0 {
 		return nil, &Refusal{Reason: ReasonPaused, RetryAfter: shortestPause(now, serving)}
 	}
-	eligible, refusal := b.withinLimits(now, eligible)
+	eligible, refusal := b.withinLimits(now, eligible, req.ExcludeLimited)
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -80,14 +80,21 @@
 	return eligible, nil
 }
 
-// withinLimits returns the candidates whose rate limits allow a request now.
-func (b *Balancer) withinLimits(now time.Duration, candidates []candidate) ([]candidate, *Refusal) {
+// withinLimits returns the candidates whose rate limits allow a request now or, if limited ones
+// are excluded, those without a rate limit.
+func (b *Balancer) withinLimits(now time.Duration, candidates []candidate, excludeLimited bool) ([]candidate, *Refusal) {
 	if !b.limits.Any() {
 		return candidates, nil
 	}
 	for i := range candidates {
 		candidates[i].allowance = b.limits.Allow(now, candidates[i].target.Boot())
 	}
+	if excludeLimited {
+		if free := selectCandidates(candidates, func(c *candidate) bool { return !c.allowance.Limited }); len(free) > 0 {
+			return free, nil
+		}
+		return nil, &Refusal{Reason: ReasonLimited}
+	}
 	if ready := selectCandidates(candidates, func(c *candidate) bool { return c.allowance.Ready }); len(ready) > 0 {
 		return ready, nil
 	}
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -76,7 +76,9 @@
 	for boot, s := range b.targetStates {
 		key := KeyOf(boot.ID)
 		if load := b.localLoad(now, key, s); load != (TargetLoad{}) {
-			loads[key] = loads[key].plus(load, 0)
+			sum := loads[key].plus(load, 0)
+			sum.Drain = sum.Drain.plus(load.Drain)
+			loads[key] = sum
 		}
 	}
 	return loads
--- a/pkg/callerserver/conn.go
+++ b/pkg/callerserver/conn.go
@@ -252,6 +252,7 @@
 	defer c.mu.Unlock()
 	c.requestID = id
 	c.hasServed = true
+	c.evicted.Store(false)
 	c.bodyStopped = false
 	c.writeDeadline = time.Time{}
 	c.beginPhase(handling)
--- a/pkg/callerserver/places.go
+++ b/pkg/callerserver/places.go
@@ -84,7 +84,7 @@
 	var victim *conn
 	var best vacancy
 	for _, c := range conns {
-		if c.address != newcomer && counts[c.address] <= counts[newcomer] {
+		if c.address != newcomer && counts[c.address] <= counts[newcomer]+1 {
 			continue
 		}
 		v, ok := c.vacancy()
--- a/pkg/canary/fleet_test.go
+++ b/pkg/canary/fleet_test.go
@@ -109,7 +109,7 @@
 
 func (f *testFleet) request(p *testProcess) {
 	turn := p.rollout.Next(f.now, false, len(f.processes) == 1)
-	isNew := turn.Use == NewVersionFirst || (turn.Use == OldVersionsFirst && f.completedAt > 0)
+	isNew := turn.Use.PrefersNew() || (turn.Use == OldVersionsFirst && f.completedAt > 0)
 	if isNew && turn.Use == OldVersionsFirst {
 		p.rollout.Return(turn)
 		turn = Turn{}
--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -25,10 +25,15 @@
 	OldVersions
 	// NewVersionFirst allows the new version, or another one if no target of it can be used.
 	NewVersionFirst
+	// NewVersionIfAvailable allows the new version, or another one if the new one has no target.
+	NewVersionIfAvailable
 	// OldVersionsFirst allows all versions but the new one, or the new one if no other has a target.
 	OldVersionsFirst
 )
 
+// PrefersNew reports whether the new version is preferred.
+func (u Use) PrefersNew() bool { return u == NewVersionFirst || u == NewVersionIfAvailable }
+
 // Turn is what a rollout decided for an attempt.
 type Turn struct {
 	Use Use
@@ -112,13 +117,13 @@
 func (r *Rollout) Next(now time.Duration, isRetry, isAlone bool) Turn {
 	switch {
 	case r.state == Complete:
-		return Turn{Use: NewVersionFirst}
+		return Turn{Use: NewVersionIfAvailable}
 	case r.state == Reverted:
 		return Turn{Use: OldVersions}
 	case !isAlone && now-r.lastNews > r.bounds.Rollback/rollbackContactDivisor:
 		return Turn{Use: r.withoutNews(now)}
 	case r.state == Switching:
-		return Turn{Use: NewVersionFirst}
+		return Turn{Use: NewVersionIfAvailable}
 	case r.state == Running && !isRetry && r.wantsNew(now):
 		r.budget.reserved++
 		return Turn{Use: NewVersionFirst, reserved: true}
--- a/pkg/canary/rollout_test.go
+++ b/pkg/canary/rollout_test.go
@@ -44,7 +44,7 @@
 			r.Raise(Switching, "")
 			later := loadTest + boundRollback/rollbackContactDivisor + 1
 			So(use(r, later, false, false), ShouldEqual, OldVersions)
-			So(use(r, later, false, true), ShouldEqual, NewVersionFirst)
+			So(use(r, later, false, true), ShouldEqual, NewVersionIfAvailable)
 		})
 		Convey("after the end without a result the old version comes first", func() {
 			r.Raise(Running, "")
@@ -55,7 +55,7 @@
 			So(r.Raise(Switching, ""), ShouldBeFalse)
 			So(use(r, loadTest, false, true), ShouldEqual, OldVersions)
 			r.Raise(Complete, "")
-			So(use(r, loadTest, true, false), ShouldEqual, NewVersionFirst)
+			So(use(r, loadTest, true, false), ShouldEqual, NewVersionIfAvailable)
 		})
 		Convey("requests that reached no target give their place back, and refused ones count only for the new version", func() {
 			r.Raise(Running, "")
--- a/pkg/canary/simulation_test.go
+++ b/pkg/canary/simulation_test.go
@@ -111,7 +111,7 @@
 	isNew := false
 	if now >= 0 {
 		turn := p.rollouts[process].Next(now, false, false)
-		isNew = turn.Use == NewVersionFirst
+		isNew = turn.Use.PrefersNew()
 		p.rollouts[process].Begin(turn, isNew)
 		p.result.all++
 	}
--- a/pkg/cli/config_deployment.go
+++ b/pkg/cli/config_deployment.go
@@ -108,7 +108,7 @@
 	}
 	var positional []string
 	for rest := c.Args().Slice(); len(rest) > 0; {
-		if !strings.HasPrefix(rest[0], "-") {
+		if rest[0] == "-" || !strings.HasPrefix(rest[0], "-") {
 			positional, rest = append(positional, rest[0]), rest[1:]
 			continue
 		}
--- a/pkg/configcheck/compare_accounts.go
+++ b/pkg/configcheck/compare_accounts.go
@@ -55,6 +55,9 @@
 	case len(c.old.Accounts) == 0 && len(c.new.Accounts) > 0:
 		c.add(SeverityWarning, "first accounts added", "requests without a key are refused with 401, except on public routes")
 	}
+	if len(c.new.Accounts) == 0 {
+		return
+	}
 	for i := range c.old.Accounts {
 		account := &c.old.Accounts[i]
 		if before[account.Name] == account && after[account.Name] == nil {
--- a/pkg/configcheck/compare_routes.go
+++ b/pkg/configcheck/compare_routes.go
@@ -76,7 +76,7 @@
 		c.compareResumable(before, after)
 	}
 	addBound(c, names.Timeout, before.Timeout, after.Timeout, defaultTime, "slower responses end with 504", "slower responses are waited for")
-	addBound(c, names.Objective, before.FirstByteObjective, after.FirstByteObjective, defaultTime, "second attempts begin earlier", "second attempts begin later")
+	addBound(c, names.Objective, before.FirstByteObjective, after.FirstByteObjective, 0, "second attempts begin earlier", "second attempts begin later")
 	addBound(c, names.Attempts, before.MaxAttempts, after.MaxAttempts, 1, "requests are tried at fewer targets", "requests are tried at more targets")
 	addIf(c, SeverityNote, names.Priority, before.Priority, after.Priority, "requests are admitted in another order; 0 is the most urgent")
 	switch {
--- a/pkg/entry/canaryrecords.go
+++ b/pkg/entry/canaryrecords.go
@@ -134,6 +134,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	order := r.Order()
+	if k.byService[order.Service] != r {
+		// A later order has replaced this one.
+		return canary.Record{}, false
+	}
 	state, ok := r.Due(k.entry.uptime(), &r.record, k.runs.inFlightAtOthers(order.Service, order.Target), processes)
 	return canary.Record{State: state, Target: order.Target, Revision: r.record.Revision}, ok
 }
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -125,6 +125,7 @@
 	require(s.MaxDescriptors >= 0 && s.MaxCallerConns >= 0 && s.CallerWriteTimeout >= 0, "a limit of callers is negative")
 	require(s.CallerMemoryShare >= 0 && s.CallerMemoryShare <= memoryLimitFraction, "the share of memory for callers is out of range")
 	require(s.ExposureShare >= 0 && s.ExposureShare <= 1 && s.ExposureSlack >= 0 && s.RollbackTime >= 0, "the exposure of a new software version is out of range")
+	require(!s.VersionRollouts || (s.ExposureShare > 0 && s.RollbackTime > 0), "rollouts of software versions need an exposure share and a time to roll back")
 	require(s.HedgeShare >= 0 && s.HedgeShare <= maxHedgeShare, "the share of hedged requests is out of range")
 	if len(problems) == 0 {
 		return nil
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -108,7 +108,7 @@
 		[]string{"server", "remote", "conns", "limit", "refused", "evicted", "memory_used"}}
 	HedgeDecided = Event{966, "hedge_decided", "A request had no response for longer than its route's requests usually have none. hedge is the target of a second copy of it, or reason is why there is none yet. delay_ms is the time after which a copy may begin, and last_delay_ms that after which it may use the whole budget; last is true after that. quantile is that of the route's distribution at the delay, and by_expectation is true if that is a distribution of ratios of observed to expected times. expected_ms is the expected time to the first byte at the first target, and hedge_expected_ms at the other.",
 		[]string{"request_id", "route", "try", "target", "hedge", "reason", "waited_ms", "delay_ms", "last_delay_ms", "last", "quantile", "by_expectation", "expected_ms", "hedge_expected_ms", "left_ms"}}
-	HedgeEnded = Event{967, "hedge_ended", "A hedge has ended or become the request's only attempt: it won (its response came first), lost (the first attempt's did, or the request ended), failed, or took_over since the first attempt failed. saved_ms is an estimate for a hedge that won: the first response is assumed to take twice as long as it had taken when the hedge began, or until a second attempt after the target's silence could respond.",
+	HedgeEnded = Event{967, "hedge_ended", "A hedge has ended or become the request's only attempt: it won (its response came first), lost (the first attempt's did, or the request ended), failed, took_over since the first attempt failed, or ended with its request. saved_ms is an estimate for a hedge that won: the first response is assumed to take twice as long as it had taken when the hedge began, or until a second attempt after the target's silence could respond.",
 		[]string{"request_id", "route", "try", "target", "outcome", "waited_ms", "took_ms", "saved_ms"}}
 	SettingsReloaded = Event{929, "settings_reloaded", "The settings file was read again after a signal; changes take effect at the next start.", []string{"err"}}
 )
@@ -121,6 +121,7 @@
 	StoreRestored, FeedRelisted, StoreCallsRejected, TargetLeaving, TargetPaused, GroupHeard, GroupSilent,
 	ResponseSilent, TargetCrashed, ResponseUnexplained, PartQuarantined, PartReleased, PartsCleared,
 	TargetLimitNamed, TargetLimitInvalid, TargetLimitEnded, RequestQuarantined, RequestReleased, RequestCleared, TrialBegun, StreamResumed, TrialTaken,
-	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset, OverloadRefused, OverloadAdmitted, CallerConnsLimited, HedgeDecided, HedgeEnded,
+	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
 	RolloutOrdered, RolloutChanged, RolloutProgress, RolloutRecorded,
+	OverloadRefused, OverloadAdmitted, CallerConnsLimited, HedgeDecided, HedgeEnded,
 }
--- a/pkg/loadshed/meter.go
+++ b/pkg/loadshed/meter.go
@@ -51,6 +51,10 @@
 
 // at returns the minimum; 0 if nothing has been observed.
 func (f *floor) at(now time.Duration) float64 {
+	if f.value == 0 {
+		// After a long time the factor is infinite, and its product with 0 no number.
+		return 0
+	}
 	return f.value * math.Exp2(float64(now-f.updatedAt)/float64(floorRecovery))
 }
 
--- a/pkg/loadshed/retry.go
+++ b/pkg/loadshed/retry.go
@@ -15,14 +15,18 @@
 // process can send that class, so that they don't all return at once. Less urgent classes have
 // a lower rate and return later.
 func (q *Queue) retryAfter(now time.Duration, w *Waiter) time.Duration {
+	patience := w.patience(now)
+	if patience < minRetryAfter {
+		// The caller has no time to return, so that no place is kept for it.
+		return minRetryAfter
+	}
 	c := w.class
 	rate := q.rateOf(now, c)
 	backlog := time.Duration(float64(q.ahead(w)) / rate * float64(time.Second))
 	gap := time.Duration(float64(time.Second) / rate)
-	c.returnAt = max(c.returnAt, now+min(backlog, w.patience(now))) + gap
+	c.returnAt = max(c.returnAt, now+min(backlog, patience)) + gap
 	delay := max(minRetryAfter, c.returnAt-now)
-	patience := w.patience(now)
-	if delay <= patience || patience < minRetryAfter {
+	if delay <= patience {
 		return delay
 	}
 	// No later time is of use to the caller. The random part keeps such callers apart.
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -45,6 +45,8 @@
 	silences int
 	// isFirstByteRecorded is set once the first byte has been recorded.
 	isFirstByteRecorded bool
+	// isEndRecorded is set once the end has been recorded.
+	isEndRecorded bool
 	// hedgedAfter is the time for which the active attempt had no response when this one began as
 	// its hedge; 0 if this is none.
 	hedgedAfter time.Duration
@@ -86,6 +88,8 @@
 	if a.tracked == nil {
 		a.tracked = relay.Balancer.Begin(a.startedAt, q.balanceRequest(), &a.choice)
 	}
+	// The limit of overload control applies to the first attempt only.
+	q.overloadLimit = 0
 	q.logBegin(a)
 	go q.runAttempt(a)
 	return a
@@ -102,6 +106,10 @@
 
 // endTracked records that the attempt no longer uses its target.
 func (q *request) endTracked(a *attempt, result balance.Result) {
+	if a.isEndRecorded {
+		return
+	}
+	a.isEndRecorded = true
 	a.tracked.End(q.relay.Now(), result)
 	q.relay.overload.recordEnd(q, a, result)
 }
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -87,6 +87,9 @@
 
 // lateBodyRefusal refuses a request whose body has not arrived in time.
 func (q *request) lateBodyRefusal() *refusal {
+	if q.relay.Stopping() {
+		return &refusal{status: http.StatusRequestTimeout, reason: "stopping"}
+	}
 	reason := "body_timeout"
 	if q.remaining() > 0 {
 		reason = "body_stalled"
--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -83,7 +83,7 @@
 	const idle = 10 * time.Second
 	Convey("Each read of a body ends at the idle timeout, or at the request's deadline", t, func() {
 		for reason, remaining := range map[string]time.Duration{"body_stalled": time.Hour, "body_timeout": 0} {
-			relay := &Relay{Config: Config{Now: func() time.Duration { return 0 }}}
+			relay := &Relay{Config: Config{Now: func() time.Duration { return 0 }, Stopping: func() bool { return false }}}
 			config := fleet.NewConfig(1, fleet.ClientLimits{IdleTimeout: idle}, nil, nil, nil, nil)
 			r := httptest.NewRequest(http.MethodPost, "/", pausingBody{strings.NewReader("half")})
 			r.ContentLength = 10
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -13,12 +13,18 @@
 // chooseTarget selects the next target, or returns a refusal if there is none.
 // allowed, if not nil, holds the IDs of the only targets that may be chosen.
 func (q *request) chooseTarget(excluded, allowed map[string]bool) (balance.Choice, *refusal) {
+	req := q.balanceRequest()
+	req.Excluded, req.Allowed = excluded, allowed
+	return q.chooseFor(req)
+}
+
+// chooseFor selects a target for a request to the balancer, or returns the refusal of the caller's
+// request.
+func (q *request) chooseFor(req *balance.Request) (balance.Choice, *refusal) {
 	relay := q.relay
 	if refusal := q.checkQuarantine(); refusal != nil {
 		return balance.Choice{}, refusal
 	}
-	req := q.balanceRequest()
-	req.Excluded, req.Allowed = excluded, allowed
 	targets := relay.Targets()
 	choice, rejection := q.pick(req, targets)
 	if rejection == nil {
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -200,6 +200,8 @@
 func (d *dispatcher) conclude(a *attempt) outcome {
 	q := d.q
 	if a.panicErr != nil {
+		q.endTracked(a, balance.Failed)
+		q.endVersion(a, canary.NoEvidence)
 		panic(a.panicErr)
 	}
 	a.endedBy = q.endReason(a.ctx)
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -21,6 +21,7 @@
 	hedgeLost     hedgeOutcome = "lost"
 	hedgeFailed   hedgeOutcome = "failed"
 	hedgeTookOver hedgeOutcome = "took_over"
+	hedgeEnded    hedgeOutcome = "ended"
 )
 
 // hedgeState is the state of the decision on a request's hedge. A hedge is a standby that begins
@@ -95,12 +96,14 @@
 		return choice, hedge.ReasonOverload
 	}
 	d.excluded[d.active.choice.Target.ID] = true
-	choice, refusal := q.chooseTarget(d.excluded, nil)
-	if refusal != nil {
-		return choice, refusal.reason
-	}
-	if q.relay.Balancer.Limits().Allow(q.relay.Now(), choice.Target.Boot()).Limited {
+	req := q.balanceRequest()
+	req.Excluded, req.ExcludeLimited = d.excluded, true
+	choice, refusal := q.chooseFor(req)
+	switch {
+	case refusal != nil && refusal.reason == balance.ReasonLimited:
 		return choice, hedge.ReasonOverload
+	case refusal != nil:
+		return choice, refusal.reason
 	}
 	if reason = d.hedge.timing.Refusal(q.describeCopy(&choice, waited)); reason != "" {
 		return choice, reason
@@ -146,7 +149,9 @@
 		q.relay.instruments.hedgeSaved.RecordDuration(saved)
 	}
 	q.relay.instruments.hedges[outcome].Inc(1)
-	q.relay.Hedges.RecordEnd(q.relay.Now(), q.route.Name, outcome == hedgeWon || outcome == hedgeTookOver)
+	if outcome != hedgeEnded {
+		q.relay.Hedges.RecordEnd(q.relay.Now(), q.route.Name, outcome == hedgeWon || outcome == hedgeTookOver)
+	}
 	q.relay.Log.Log(eventlog.HedgeEnded, "request_id", q.meta.ID, "route", q.route.Name, "try", a.number, "target", a.choice.Target.ID,
 		"outcome", string(outcome), "waited_ms", waited.Milliseconds(), "took_ms", took.Milliseconds(), "saved_ms", saved.Milliseconds())
 }
--- a/pkg/relay/meters.go
+++ b/pkg/relay/meters.go
@@ -32,7 +32,7 @@
 func newInstruments(scope tally.Scope) instruments {
 	buckets := tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 18)
 	hedges := map[hedgeOutcome]tally.Counter{}
-	for _, outcome := range []hedgeOutcome{hedgeWon, hedgeLost, hedgeFailed, hedgeTookOver} {
+	for _, outcome := range []hedgeOutcome{hedgeWon, hedgeLost, hedgeFailed, hedgeTookOver, hedgeEnded} {
 		hedges[outcome] = scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter("hedges_ended")
 	}
 	return instruments{
--- a/pkg/relay/rollout.go
+++ b/pkg/relay/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/baobabhub/baobabhub/pkg/balance"
 	"github.com/baobabhub/baobabhub/pkg/canary"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
 )
 
 // VersionRollouts decides which software version of a service gets a request while the service
@@ -67,10 +68,10 @@
 	allowed := req.SoftwareVersions
 	newOnly, others := q.splitVersions(allowed, turn.Version, targets)
 	order := []map[string]bool{others}
-	switch turn.Use {
-	case canary.NewVersionFirst:
+	switch {
+	case turn.Use.PrefersNew():
 		order = []map[string]bool{newOnly, others}
-	case canary.OldVersionsFirst:
+	case turn.Use == canary.OldVersionsFirst:
 		order = []map[string]bool{others, newOnly}
 	}
 	var choice balance.Choice
@@ -78,7 +79,7 @@
 	for _, versions := range order {
 		req.SoftwareVersions = versions
 		choice, rejection = relay.Balancer.Pick(relay.Now(), req, targets)
-		if rejection == nil {
+		if rejection == nil || (turn.Use == canary.NewVersionIfAvailable && !isUnavailable(rejection)) {
 			break
 		}
 	}
@@ -90,6 +91,12 @@
 	return choice, nil
 }
 
+// isUnavailable reports whether no target could be chosen because none can serve, rather than
+// because those that can have too much work.
+func isUnavailable(rejection *balance.Refusal) bool {
+	return rejection.Reason == balance.ReasonNoTarget || rejection.Reason == balance.ReasonLoading
+}
+
 // splitVersions returns the new version, and the other versions of the service's targets, as far as the
 // request allows them; nil allows all.
 func (q *request) splitVersions(allowed map[string]bool, version string, targets []fleet.Target) (newOnly, others map[string]bool) {
@@ -164,7 +171,7 @@
 			return canary.Failed
 		}
 		return canary.Served
-	case result == failed && isRejection(a):
+	case result == failed && (isRejection(a) || errors.Is(a.err, membudget.ErrBudgetExceeded)):
 		return canary.NoEvidence
 	case result == failed && errors.Is(a.endedBy, errTargetSilent):
 		return canary.Failed
--- a/pkg/relay/standby.go
+++ b/pkg/relay/standby.go
@@ -159,6 +159,7 @@
 		d.deliver(a)
 	case callerDisconnected, deadlineExceeded:
 		// The active attempt ends for the same reason.
+		d.endHedge(a, hedgeEnded)
 	case notRun:
 		d.endHedge(a, hedgeFailed)
 		d.countAttempt(a, result)
