--- a/pkg/balance/liveness.go
+++ b/pkg/balance/liveness.go
@@ -10,17 +10,17 @@
 	// progressTimeout is the time without any bytes from a target, to any process, after
 	// which a target with pending requests is treated as stalled.
 	progressTimeout = 700 * time.Millisecond
-	// loneWaitFactor is the multiple of a request's expected time to the first byte that a
+	// unconfirmedWaitFactor is the multiple of a request's expected time to the first byte that a
 	// process without news from its peers allows for, since it can't see the bytes that
-	// they receive. Estimates under load have been too low by a factor of two and more.
-	loneWaitFactor = 3
+	// they receive. Estimates may be too low by a factor of two under load.
+	unconfirmedWaitFactor = 3
 	// peerNewsTTL is the time for which a peer counts as heard after its latest message.
 	// It covers the loss of a message from another group, which sends every 0.3 s.
 	peerNewsTTL = 700 * time.Millisecond
-	// waitMemory is the time for which requests that ended without any bytes still count
-	// as a silence of their target. Without it, a dark target whose requests are all
-	// cancelled before progressTimeout would never be noticed.
-	waitMemory = 2 * time.Second
+	// silenceTTL is the time for which requests that ended without any bytes still count
+	// as a silence of their target. Without it, a target that never responds to requests
+	// that are cancelled before progressTimeout would not be detected.
+	silenceTTL = 2 * time.Second
 	// maxReportedProgressAge bounds the ages that are reported to peers. Older bytes show
 	// nothing that progressTimeout doesn't.
 	maxReportedProgressAge = 1200 * time.Millisecond
@@ -72,7 +72,7 @@
 	switch {
 	case isWaiting && !f.isWaiting:
 		f.waitingSince = now
-		if now-f.waitEndedAt < waitMemory {
+		if now-f.waitEndedAt < silenceTTL {
 			f.waitingSince -= f.waited
 		}
 	case !isWaiting && f.isWaiting:
@@ -168,7 +168,7 @@
 	}
 	timeout := progressTimeout
 	if !r.hearsPeers && len(s.pendingRequests) > 0 {
-		timeout = max(timeout, loneWaitFactor*s.pendingRequests[0].expectedTTFB)
+		timeout = max(timeout, unconfirmedWaitFactor*s.pendingRequests[0].expectedTTFB)
 	}
 	return min(s.fleet.silence(r.now), r.now-r.resumedAt) >= timeout
 }
--- a/pkg/callerserver/places.go
+++ b/pkg/callerserver/places.go
@@ -30,13 +30,13 @@
 	refused, evicted int64
 }
 
-// admit returns the conn for a new connection. It closes it and returns nil if there is no
-// place or no memory for it. A connection without a request makes room where that is
-// fair: no address takes the place of another one that has as few connections.
+// admit returns the conn for a new connection. It closes it and returns nil if there are too
+// many connections or there is no memory for it. A connection without a request is evicted for
+// it if its address has at least two connections more than that of the new one.
 func (s *Server) admit(tcp *net.TCPConn) *conn {
 	address := remoteAddress(tcp)
-	if !s.hasPlace(address) {
-		s.turnAway(tcp)
+	if !s.reserveConn(address) {
+		s.refuseConn(tcp)
 		return nil
 	}
 	c := s.track(tcp)
@@ -47,13 +47,13 @@
 		return c
 	}
 	s.evictOne(s.trackedConns(), address)
-	s.turnAway(c)
+	s.refuseConn(c)
 	return nil
 }
 
-// hasPlace reports whether a connection of an address may be added. It evicts another one
+// reserveConn reports whether a connection of an address may be added. It evicts another one
 // if that is necessary and possible.
-func (s *Server) hasPlace(address netip.Addr) bool {
+func (s *Server) reserveConn(address netip.Addr) bool {
 	limit := s.config.MaxConns
 	if limit <= 0 || s.openConns() < limit {
 		return true
@@ -82,12 +82,12 @@
 		}
 	}
 	var victim *conn
-	var best vacancy
+	var best evictionRank
 	for _, c := range conns {
 		if c.address != newcomer && counts[c.address] <= counts[newcomer]+1 {
 			continue
 		}
-		v, ok := c.vacancy()
+		v, ok := c.evictionRank()
 		v.share = counts[c.address]
 		if ok && (victim == nil || v.before(best)) {
 			victim, best = c, v
@@ -104,8 +104,9 @@
 	return true
 }
 
-// vacancy is how well a connection can be given up.
-type vacancy struct {
+// evictionRank orders connections for eviction: first those of the address with the most
+// connections, then those that never had a request, then the oldest.
+type evictionRank struct {
 	// share is the number of connections of the same address.
 	share     int
 	hasServed bool
@@ -113,7 +114,7 @@
 }
 
 // before reports whether a connection is to be given up before another one.
-func (v vacancy) before(other vacancy) bool {
+func (v evictionRank) before(other evictionRank) bool {
 	switch {
 	case v.share != other.share:
 		return v.share > other.share
@@ -124,14 +125,14 @@
 	}
 }
 
-// vacancy returns how well the connection can be given up, and whether it can be at all.
-func (c *conn) vacancy() (vacancy, bool) {
+// evictionRank returns how well the connection can be given up, and whether it can be at all.
+func (c *conn) evictionRank() (evictionRank, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || c.evicted.Load() || c.phase > readingHeader || time.Since(c.since) < evictionAge {
-		return vacancy{}, false
+		return evictionRank{}, false
 	}
-	return vacancy{hasServed: c.hasServed, since: c.since}, true
+	return evictionRank{hasServed: c.hasServed, since: c.since}, true
 }
 
 // evict makes the connection close unless a request has arrived, and reports whether it does.
@@ -147,8 +148,8 @@
 	return true
 }
 
-// turnAway refuses a new connection.
-func (s *Server) turnAway(netConn net.Conn) {
+// refuseConn refuses a new connection.
+func (s *Server) refuseConn(netConn net.Conn) {
 	s.places.mu.Lock()
 	s.places.refused++
 	s.places.mu.Unlock()
--- a/pkg/canary/crashes.go
+++ b/pkg/canary/crashes.go
@@ -3,13 +3,14 @@
 import "time"
 
 const (
-	// crashMoment is the time within which crashes have one cause.
-	crashMoment = time.Second
-	// minCrashMoments is the number of moments at which only targets of the new version crashed that
-	// makes it faulty. One or two happen to sound versions.
-	minCrashMoments = 3
-	// maxCrashMoments bounds the memory for crashes.
-	maxCrashMoments = 64
+	// crashWindow is the time within which crashes count as one, because they probably have the
+	// same cause.
+	crashWindow = time.Second
+	// minCrashes is the number of crashes of the new version alone that make it faulty. One or two
+	// happen to sound versions.
+	minCrashes = 3
+	// maxCrashes bounds the memory for crashes.
+	maxCrashes = 64
 )
 
 // crashes holds the moments at which targets crashed. One crash breaks off many requests, so that those
@@ -25,7 +26,7 @@
 		moments = &c.new
 	}
 	last := len(*moments) - 1
-	if (last >= 0 && now-(*moments)[last] < crashMoment) || len(*moments) >= maxCrashMoments {
+	if (last >= 0 && now-(*moments)[last] < crashWindow) || len(*moments) >= maxCrashes {
 		return
 	}
 	*moments = append(*moments, now)
@@ -40,12 +41,12 @@
 			alone++
 		}
 	}
-	return alone >= minCrashMoments && alone > 2*len(c.old)
+	return alone >= minCrashes && alone > 2*len(c.old)
 }
 
 func (c *crashes) oldCrashedAt(at time.Duration) bool {
 	for _, old := range c.old {
-		if (old - at).Abs() < 2*crashMoment {
+		if (old - at).Abs() < 2*crashWindow {
 			return true
 		}
 	}
--- a/pkg/canary/fleet_test.go
+++ b/pkg/canary/fleet_test.go
@@ -108,13 +108,13 @@
 }
 
 func (f *testFleet) request(p *testProcess) {
-	turn := p.rollout.Next(f.now, false, len(f.processes) == 1)
-	isNew := turn.Use.PrefersNew() || (turn.Use == OldVersionsFirst && f.completedAt > 0)
-	if isNew && turn.Use == OldVersionsFirst {
-		p.rollout.Return(turn)
-		turn = Turn{}
+	decision := p.rollout.Next(f.now, false, len(f.processes) == 1)
+	isNew := decision.Use.PrefersNew() || (decision.Use == OldVersionsFirst && f.completedAt > 0)
+	if isNew && decision.Use == OldVersionsFirst {
+		p.rollout.Return(decision)
+		decision = Decision{}
 	}
-	p.rollout.Begin(turn, isNew)
+	p.rollout.Begin(decision, isNew)
 	outcome := Outcome{Route: fmt.Sprint(f.random.IntN(3)), IsNew: isNew, SentAt: f.now, Result: Served, IsAnswered: true}
 	if isNew && f.now >= f.onset && f.random.Float64() < f.fault {
 		outcome.Result = Failed
--- a/pkg/canary/judge.go
+++ b/pkg/canary/judge.go
@@ -14,12 +14,12 @@
 	// end of the load test. There is one for all routes together, and as much again is shared by
 	// the tests of single routes; both for failures and for slow runs.
 	finalAlpha = 0.001
-	// closeAlpha replaces it once nearly as many answers of the version were bad as the time to
+	// urgentAlpha replaces it once nearly as many answers of the version were bad as the time to
 	// roll it back allows: there is no time to wait for clearer evidence then.
-	closeAlpha = 0.01
-	// closeFailures is that number of failures, four fifths of the 50 after which the time to
+	urgentAlpha = 0.01
+	// urgentFailures is that number of failures, four fifths of the 50 after which the time to
 	// roll back begins, since more are under way.
-	closeFailures = 40
+	urgentFailures = 40
 	// soundAlpha is the probability with which a faulty version is taken to be shown sound.
 	soundAlpha = 0.05
 	// smallestFault is the smallest share of failures that makes a version faulty, and
@@ -32,11 +32,11 @@
 	minRuns = 60
 	// routeSoundAlpha is the same for each single route, which has fewer runs.
 	routeSoundAlpha = 0.1
-	// rateMargin is the number of standard errors that is added to the old version's share of bad runs, which
-	// is known only approximately.
-	// Below minMarginRate a route of the old version has hardly any bad runs, and the smoothed rate
-	// is above the true one anyway.
-	rateMargin    = 0.7
+	// rateMargin is the number of standard errors that is added to the old version's share of bad
+	// runs, which is an estimate.
+	rateMargin = 0.7
+	// minMarginRate is the share of bad runs up to which no margin is added: the smoothed rate is
+	// above the true one there.
 	minMarginRate = 0.02
 	// priorRuns is the weight, in runs, of a route's overall rate in the rate of one slice.
 	priorRuns = 30
@@ -79,9 +79,9 @@
 	ReasonNothingFound = "nothing_found"
 )
 
-// cell is the evidence of the new version on one route in one slice, with the share of bad runs
+// sliceCounts is the evidence of the new version on one route in one slice, with the share of bad runs
 // that a sound version has there.
-type cell struct {
+type sliceCounts struct {
 	slice     int
 	runs, bad float64
 	expected  float64
@@ -97,13 +97,13 @@
 	slowLikelihood := likelihood(slow, slowdownSizes)
 	ratio := (faultLikelihood + slowLikelihood) / 2
 	f.Likelihood = math.Log10(max(ratio, math.SmallestNonzeroFloat64))
-	isClose := f.New.Failures >= closeFailures
+	isUrgent := f.New.Failures >= urgentFailures
 	switch {
 	case ratio >= rejectLikelihood && faultLikelihood >= slowLikelihood:
 		f.IsFaulty, f.Reason = true, ReasonFailures
 	case ratio >= rejectLikelihood:
 		f.IsFaulty, f.Reason = true, ReasonSlow
-	case isClose && tailOf(pooled(failures)) < closeAlpha:
+	case isUrgent && tailOf(pooled(failures)) < urgentAlpha:
 		f.IsFaulty, f.Reason = true, ReasonFailures
 	case isFinal && failsFinal(failures):
 		f.IsFaulty, f.Reason = true, ReasonFailures
@@ -120,9 +120,9 @@
 
 // cellsByRoute returns the evidence of the new version by route, for the runs and bad runs that
 // pick selects.
-func cellsByRoute(evidence Evidence, pick func(Counts) (runs, bad int64)) [][]cell {
+func cellsByRoute(evidence Evidence, pick func(Counts) (runs, bad int64)) [][]sliceCounts {
 	rates, overall := oldRates(evidence, pick)
-	byRoute := map[string][]cell{}
+	byRoute := map[string][]sliceCounts{}
 	for key, counts := range evidence {
 		runs, bad := pick(counts)
 		if !key.New || runs == 0 {
@@ -138,11 +138,11 @@
 		if rate > minMarginRate {
 			expected = min(maxRate, expected+rateMargin*math.Sqrt(expected*(1-expected)/weight))
 		}
-		byRoute[key.Route] = append(byRoute[key.Route], cell{slice: key.Slice, runs: float64(runs), bad: float64(bad), expected: expected})
+		byRoute[key.Route] = append(byRoute[key.Route], sliceCounts{slice: key.Slice, runs: float64(runs), bad: float64(bad), expected: expected})
 	}
-	routes := make([][]cell, 0, len(byRoute))
+	routes := make([][]sliceCounts, 0, len(byRoute))
 	for _, cells := range byRoute {
-		slices.SortFunc(cells, func(a, b cell) int { return a.slice - b.slice })
+		slices.SortFunc(cells, func(a, b sliceCounts) int { return a.slice - b.slice })
 		routes = append(routes, cells)
 	}
 	return routes
@@ -171,11 +171,11 @@
 }
 
 // pooled returns the cells of all routes.
-func pooled(routes [][]cell) []cell { return slices.Concat(routes...) }
+func pooled(routes [][]sliceCounts) []sliceCounts { return slices.Concat(routes...) }
 
 // likelihood returns the likelihood ratio of a fault against none: the average over faults of
 // all routes or of one, of several sizes, and that begin in one of the slices.
-func likelihood(routes [][]cell, sizes []float64) float64 {
+func likelihood(routes [][]sliceCounts, sizes []float64) float64 {
 	if len(routes) == 0 {
 		return 1
 	}
@@ -187,7 +187,7 @@
 }
 
 // averageLikelihood returns the likelihood ratio of a fault in the given cells.
-func averageLikelihood(cells []cell, sizes []float64) float64 {
+func averageLikelihood(cells []sliceCounts, sizes []float64) float64 {
 	sum := 0.0
 	for _, size := range sizes {
 		var bySlice [numSlices]float64
@@ -204,21 +204,21 @@
 }
 
 // logLikelihood returns the logarithm of the likelihood ratio of an additional share of bad runs.
-func (c *cell) logLikelihood(size float64) float64 {
+func (c *sliceCounts) logLikelihood(size float64) float64 {
 	faulty := c.expected + size*(1-c.expected)
 	return c.bad*math.Log(faulty/c.expected) + (c.runs-c.bad)*math.Log((1-faulty)/(1-c.expected))
 }
 
 // failsFinal applies the tests at the end.
-func failsFinal(routes [][]cell) bool {
+func failsFinal(routes [][]sliceCounts) bool {
 	if tailOf(pooled(routes)) < finalAlpha {
 		return true
 	}
-	return slices.ContainsFunc(routes, func(cells []cell) bool { return tailOf(cells) < finalAlpha/float64(len(routes)) })
+	return slices.ContainsFunc(routes, func(cells []sliceCounts) bool { return tailOf(cells) < finalAlpha/float64(len(routes)) })
 }
 
 // sumOf returns the runs, bad runs, and expected share of bad runs of cells.
-func sumOf(cells []cell) (runs, bad int, share float64) {
+func sumOf(cells []sliceCounts) (runs, bad int, share float64) {
 	var sumRuns, sumBad, expected float64
 	for i := range cells {
 		sumRuns += cells[i].runs
@@ -229,20 +229,20 @@
 }
 
 // tailOf returns the probability that a sound version has as many bad runs, or more.
-func tailOf(cells []cell) float64 {
+func tailOf(cells []sliceCounts) float64 {
 	runs, bad, share := sumOf(cells)
 	return 1 - binomialBelow(runs, bad, share)
 }
 
 // excludesAll reports whether the cells show that the additional share of bad runs is below size,
 // over all routes and on each.
-func excludesAll(routes [][]cell, size float64) bool {
+func excludesAll(routes [][]sliceCounts, size float64) bool {
 	return excludes(pooled(routes), size, soundAlpha) &&
-		!slices.ContainsFunc(routes, func(cells []cell) bool { return !excludes(cells, size, routeSoundAlpha) })
+		!slices.ContainsFunc(routes, func(cells []sliceCounts) bool { return !excludes(cells, size, routeSoundAlpha) })
 }
 
 // excludes reports the same of cells, with a probability of error of at most alpha.
-func excludes(cells []cell, size, alpha float64) bool {
+func excludes(cells []sliceCounts, size, alpha float64) bool {
 	runs, bad, share := sumOf(cells)
 	return binomialBelow(runs, bad+1, share+size*(1-share)) < alpha
 }
--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -34,8 +34,8 @@
 // PrefersNew reports whether the new version is preferred.
 func (u Use) PrefersNew() bool { return u == NewVersionFirst || u == NewVersionIfAvailable }
 
-// Turn is what a rollout decided for an attempt.
-type Turn struct {
+// Decision is what a rollout decided for an attempt.
+type Decision struct {
 	Use Use
 	// reserved is set if the attempt has a place in the budget.
 	reserved bool
@@ -113,22 +113,22 @@
 func (r *Rollout) Renumber(revision uint64) { r.order.Revision = max(r.order.Revision, revision) }
 
 // Next decides where an attempt goes. isAlone is set if there is no other process. If a reserved
-// turn isn't used, it has to be returned.
-func (r *Rollout) Next(now time.Duration, isRetry, isAlone bool) Turn {
+// decision isn't used, it has to be returned.
+func (r *Rollout) Next(now time.Duration, isRetry, isAlone bool) Decision {
 	switch {
 	case r.state == Complete:
-		return Turn{Use: NewVersionIfAvailable}
+		return Decision{Use: NewVersionIfAvailable}
 	case r.state == Reverted:
-		return Turn{Use: OldVersions}
+		return Decision{Use: OldVersions}
 	case !isAlone && now-r.lastNews > r.bounds.Rollback/rollbackContactDivisor:
-		return Turn{Use: r.withoutNews(now)}
+		return Decision{Use: r.withoutNews(now)}
 	case r.state == Switching:
-		return Turn{Use: NewVersionIfAvailable}
+		return Decision{Use: NewVersionIfAvailable}
 	case r.state == Running && !isRetry && r.wantsNew(now):
 		r.budget.reserved++
-		return Turn{Use: NewVersionFirst, reserved: true}
+		return Decision{Use: NewVersionFirst, reserved: true}
 	default:
-		return Turn{Use: r.withoutNews(now)}
+		return Decision{Use: r.withoutNews(now)}
 	}
 }
 
@@ -153,17 +153,17 @@
 	}
 }
 
-// Return returns a turn for which no attempt at the new version began.
-func (r *Rollout) Return(turn Turn) {
-	if turn.reserved {
+// Return returns a decision for which no attempt at the new version began.
+func (r *Rollout) Return(decision Decision) {
+	if decision.reserved {
 		r.budget.reserved--
 	}
 }
 
-// Begin records that an attempt begins. A reserved turn must belong to an attempt at the new
+// Begin records that an attempt begins. A reserved decision must belong to an attempt at the new
 // version.
-func (r *Rollout) Begin(turn Turn, isNew bool) {
-	r.Return(turn)
+func (r *Rollout) Begin(decision Decision, isNew bool) {
+	r.Return(decision)
 	if isNew {
 		r.budget.exposed++
 	}
--- a/pkg/canary/rollout_test.go
+++ b/pkg/canary/rollout_test.go
@@ -22,9 +22,9 @@
 // TestNext guards against requests at a version that must not get them.
 func TestNext(t *testing.T) {
 	use := func(r *Rollout, now time.Duration, isRetry, isAlone bool) Use {
-		turn := r.Next(now, isRetry, isAlone)
-		r.Return(turn)
-		return turn.Use
+		decision := r.Next(now, isRetry, isAlone)
+		r.Return(decision)
+		return decision.Use
 	}
 	Convey("Given a rollout with budget left, in the load test", t, func() {
 		loadTest := testOrder().Duration * 85 / 100
@@ -59,8 +59,8 @@
 		})
 		Convey("requests that reached no target give their place back, and refused ones count only for the new version", func() {
 			r.Raise(Running, "")
-			turn := r.Next(loadTest, false, true)
-			r.Begin(turn, true)
+			decision := r.Next(loadTest, false, true)
+			r.Begin(decision, true)
 			r.End(Outcome{IsNew: true, Result: NotSent})
 			_, exposed := r.Counts()
 			So(exposed, ShouldEqual, 0)
--- a/pkg/canary/simulation_test.go
+++ b/pkg/canary/simulation_test.go
@@ -110,9 +110,9 @@
 	process, route := p.random.IntN(p.processes), p.random.IntN(playRoutes)
 	isNew := false
 	if now >= 0 {
-		turn := p.rollouts[process].Next(now, false, false)
-		isNew = turn.Use.PrefersNew()
-		p.rollouts[process].Begin(turn, isNew)
+		decision := p.rollouts[process].Next(now, false, false)
+		isNew = decision.Use.PrefersNew()
+		p.rollouts[process].Begin(decision, isNew)
 		p.result.all++
 	}
 	if isNew {
--- a/pkg/cli/baobab.go
+++ b/pkg/cli/baobab.go
@@ -39,7 +39,7 @@
 				Name:      "check",
 				Usage:     "report all problems of a settings file, or of a deployment's configuration",
 				UsageText: "baobab config check router router.json\nbaobab config check agent agent.json\nbaobab config check deployment config.json --in-force current.json",
-				ArgsUsage: "router|agent FILE",
+				ArgsUsage: "router|agent|deployment FILE",
 				Action:    checkConfig,
 
 				Subcommands: []*cli.Command{deploymentCheckCommand(platform)},
--- a/pkg/cli/config_deployment.go
+++ b/pkg/cli/config_deployment.go
@@ -46,7 +46,7 @@
 }
 
 func checkDeployment(c *cli.Context, platform OperatorPlatform) error {
-	files, err := parseOptionsBetween(c)
+	files, err := parseInterspersed(c)
 	if err != nil {
 		return err
 	}
@@ -96,9 +96,9 @@
 	return platform.DecodeDocument(data), nil
 }
 
-// parseOptionsBetween returns the positional arguments. Options may also stand after them, where
+// parseInterspersed returns the positional arguments. Options may also stand after them, where
 // the library leaves them unparsed.
-func parseOptionsBetween(c *cli.Context) ([]string, error) {
+func parseInterspersed(c *cli.Context) ([]string, error) {
 	set := flag.NewFlagSet(c.Command.Name, flag.ContinueOnError)
 	set.SetOutput(io.Discard)
 	for _, option := range c.Command.Flags {
--- a/pkg/entry/canary.go
+++ b/pkg/entry/canary.go
@@ -208,7 +208,7 @@
 		_, isLeader := k.entry.lease.leaderFencingToken()
 		now := k.entry.uptime()
 		k.mu.Lock()
-		k.settleBroken(now)
+		k.countBrokenRuns(now)
 		for _, r := range k.byService {
 			k.judge(now, r, isLeader)
 		}
--- a/pkg/entry/canaryruns.go
+++ b/pkg/entry/canaryruns.go
@@ -71,26 +71,26 @@
 }
 
 // Next implements relay.VersionRollouts.
-func (k *canaryKeeper) Next(service string, isRetry bool) relay.VersionTurn {
+func (k *canaryKeeper) Next(service string, isRetry bool) relay.VersionDecision {
 	isAlone := k.entry.members.processCount() == 1
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r, ok := k.byService[service]
 	if !ok {
-		return relay.VersionTurn{}
+		return relay.VersionDecision{}
 	}
-	return relay.VersionTurn{Turn: r.Next(k.entry.uptime(), isRetry, isAlone), Version: r.Order().Target, Rollout: r.Rollout}
+	return relay.VersionDecision{Decision: r.Next(k.entry.uptime(), isRetry, isAlone), Version: r.Order().Target, Rollout: r.Rollout}
 }
 
 // Return implements relay.VersionRollouts.
-func (k *canaryKeeper) Return(turn relay.VersionTurn) {
+func (k *canaryKeeper) Return(decision relay.VersionDecision) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	turn.Rollout.Return(turn.Turn)
+	decision.Rollout.Return(decision.Decision)
 }
 
 // Begin implements relay.VersionRollouts.
-func (k *canaryKeeper) Begin(target fleet.Target, turn relay.VersionTurn) relay.VersionAttempt {
+func (k *canaryKeeper) Begin(target fleet.Target, decision relay.VersionDecision) relay.VersionAttempt {
 	now := k.entry.uptime()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -102,13 +102,13 @@
 		k.runs.warmAt[boot] = warmAt
 	}
 	a := &canaryAttempt{keeper: k, target: target, rollout: k.byService[target.Service], isWarm: now >= warmAt}
-	if turn.Rollout != nil && (a.rollout == nil || a.rollout.Rollout != turn.Rollout) {
-		turn.Rollout.Return(turn.Turn)
-		turn = relay.VersionTurn{}
+	if decision.Rollout != nil && (a.rollout == nil || a.rollout.Rollout != decision.Rollout) {
+		decision.Rollout.Return(decision.Decision)
+		decision = relay.VersionDecision{}
 	}
 	if a.rollout != nil {
 		a.isNew = target.SoftwareVersion == a.rollout.Order().Target
-		a.rollout.Begin(turn.Turn, a.isNew)
+		a.rollout.Begin(decision.Decision, a.isNew)
 	}
 	return a
 }
@@ -156,9 +156,9 @@
 	}
 }
 
-// settleBroken counts the broken responses of targets that have not crashed as failures. The
+// countBrokenRuns counts the broken responses of targets that have not crashed as failures. The
 // caller must hold k.mu.
-func (k *canaryKeeper) settleBroken(now time.Duration) {
+func (k *canaryKeeper) countBrokenRuns(now time.Duration) {
 	waiting := k.runs.broken
 	for len(waiting) > 0 && now-waiting[0].at >= crashNoticeTime {
 		run := &waiting[0]
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -65,7 +65,7 @@
 	// VersionRollouts makes the system carry out the operators' orders to move a
 	// service to another software version. ExposureShare is the largest share of the
 	// service's requests that a faulty version may receive, ExposureSlack the number of
-	// requests allowed in addition, and RollbackTime the time after enough evidence
+	// requests allowed in addition, which cover those before the order is known, and RollbackTime the time after enough evidence
 	// within which a faulty version must receive no more requests.
 	VersionRollouts bool
 	ExposureShare   float64
--- a/pkg/hedge/budget.go
+++ b/pkg/hedge/budget.go
@@ -1,7 +1,8 @@
 package hedge
 
-// fleetBurst is the number of hedges that all processes together may save up for a moment in which
-// many requests are slow at once.
+// fleetBurst is the number of hedges that all processes together may save up for a time in which
+// many requests are slow. It is divided evenly among them, but each may save up one beside its
+// reserve, so that fleets of more than 32 processes save up more.
 const fleetBurst = 64
 
 // reserve is the number of hedges of each process for requests that are past their LastDelay.
--- a/pkg/hedge/timing.go
+++ b/pkg/hedge/timing.go
@@ -23,8 +23,8 @@
 	// Delay is the time without a response after which a copy of the request may begin, if copies
 	// of the route's requests usually win and the budget has more than its reserve.
 	Delay time.Duration
-	// LastDelay is the time after which any hedge of the budget may be used, if none was sent
-	// after Delay.
+	// LastDelay is the time without a response after which a copy may begin regardless of how
+	// often copies win, and may use the budget's reserve.
 	LastDelay time.Duration
 	// Quantile is the quantile of the route's distribution at Delay.
 	Quantile float64
--- a/pkg/loadshed/class.go
+++ b/pkg/loadshed/class.go
@@ -90,9 +90,9 @@
 	c.remove(w)
 }
 
-// heads returns the first waiters of the accounts in the order in which they are sent, at
+// firstWaiters returns the first waiters of the accounts in the order in which they are sent, at
 // most limit of them.
-func (c *class) heads(limit int) []*Waiter {
+func (c *class) firstWaiters(limit int) []*Waiter {
 	flows := make([]*flow, 0, len(c.flows))
 	for _, f := range c.flows {
 		flows = append(flows, f)
@@ -100,11 +100,11 @@
 	slices.SortFunc(flows, func(a, b *flow) int {
 		return cmp.Or(cmp.Compare(a.startTag, b.startTag), cmp.Compare(a.account, b.account))
 	})
-	heads := make([]*Waiter, 0, limit)
+	firstWaiters := make([]*Waiter, 0, limit)
 	for _, f := range flows[:min(limit, len(flows))] {
-		heads = append(heads, f.waiters[0])
+		firstWaiters = append(firstWaiters, f.waiters[0])
 	}
-	return heads
+	return firstWaiters
 }
 
 // ahead returns the number of waiters of the class that are sent before a new one, or that it would
--- a/pkg/loadshed/fleet_test.go
+++ b/pkg/loadshed/fleet_test.go
@@ -244,8 +244,8 @@
 		delete(p.waiting, expired.Waiter)
 	}
 	for _, w := range p.queue.Release(f.now, func(w *Waiter) bool {
-		p.waiting[w].relaxed = w.Relaxed
-		return f.trySend(p, p.waiting[w], f.limit(p, p.waiting[w], w.Relaxed, 0.85))
+		p.waiting[w].relaxed = w.ByMinShare
+		return f.trySend(p, p.waiting[w], f.limit(p, p.waiting[w], w.ByMinShare, 0.85))
 	}) {
 		delete(p.waiting, w)
 	}
--- a/pkg/loadshed/pace.go
+++ b/pkg/loadshed/pace.go
@@ -31,10 +31,10 @@
 	// Below growRatio, the pace rises; the gap between them keeps it from swinging.
 	lateRatio = 1.2
 	growRatio = 0.7
-	// unconfirmedRatio replaces lateRatio while the estimates show no queues at the engines. First
+	// lateRatioWithoutQueues replaces lateRatio while the estimates show no queues at the engines. First
 	// bytes may be late for other reasons then, for example engines that load weights, but the
 	// estimates may also be wrong.
-	unconfirmedRatio = 2.0
+	lateRatioWithoutQueues = 2.0
 	// maxRatio bounds the ratio of one request, so that one slow or silent engine among several
 	// doesn't count as overload.
 	maxRatio = 3.0
@@ -59,8 +59,8 @@
 	changedAt time.Duration
 	// neededAt is the time at which a request had to wait for the pace.
 	neededAt time.Duration
-	// crowdedUntil is the time until which the estimates count as showing queues at the engines.
-	crowdedUntil time.Duration
+	// queuesSeenUntil is the time until which the estimates count as showing queues at the engines.
+	queuesSeenUntil time.Duration
 
 	// loweredAt is the time at which late first bytes lowered the pace.
 	loweredAt time.Duration
@@ -126,8 +126,8 @@
 	}
 }
 
-// recordCrowded records that the estimates show queues at all engines that are longer than the limit.
-func (p *pace) recordCrowded(now time.Duration) { p.crowdedUntil = now + paceIdle }
+// recordQueues records that the estimates show queues at all engines that are longer than the limit.
+func (p *pace) recordQueues(now time.Duration) { p.queuesSeenUntil = now + paceIdle }
 
 // recordAnswer records the first byte of a response.
 func (p *pace) recordAnswer(now time.Duration) { p.answered.add(now, 1) }
@@ -142,7 +142,7 @@
 	p.decay(now)
 	p.answers++
 	p.ratios += max(0, min(maxRatio, ratio))
-	if ratio := p.ratio(now); ratio < lateRatio || (ratio < unconfirmedRatio && now > p.crowdedUntil) {
+	if ratio := p.ratio(now); ratio < lateRatio || (ratio < lateRatioWithoutQueues && now > p.queuesSeenUntil) {
 		return
 	}
 	answered := p.answered.rate(now)
--- a/pkg/loadshed/queue.go
+++ b/pkg/loadshed/queue.go
@@ -31,10 +31,10 @@
 type Waiter struct {
 	Ticket
 	EnqueuedAt time.Duration
-	// Relaxed is set while the waiter is offered under the minimum share of the less urgent
+	// ByMinShare is set while the waiter is offered under the minimum share of the less urgent
 	// classes. It may then be sent although the queues of the engines are longer than the
 	// limit of its class.
-	Relaxed bool
+	ByMinShare bool
 
 	sequence uint64
 	class    *class
@@ -119,9 +119,9 @@
 	sequence uint64
 	// sends measures all requests sent to the service.
 	sends meter
-	// owed is the number of requests sent since the last one of a less urgent class that had
+	// sentSinceLower is the number of requests sent since the last one of a less urgent class that had
 	// to wait.
-	owed int
+	sentSinceLower int
 	// servedPriority is the priority of the request sent last.
 	servedPriority int
 	displaced      []*Waiter
@@ -190,7 +190,7 @@
 // prompt, of a request that is sent.
 func (q *Queue) RecordExpected(now time.Duration, priority int, expected, limit time.Duration) {
 	if expected > limit {
-		q.class(priority).pace.recordCrowded(now)
+		q.class(priority).pace.recordQueues(now)
 	}
 }
 
@@ -219,10 +219,10 @@
 	c.usage.add(now, t.Account, t.AccountWeight, max(1, t.Tokens))
 	q.servedPriority = t.Priority
 	if q.lowerClass(t.Priority) == nil {
-		q.owed = 0
+		q.sentSinceLower = 0
 		return
 	}
-	q.owed++
+	q.sentSinceLower++
 }
 
 // lowerClass returns the class less urgent than a priority whose first request has waited
@@ -369,7 +369,7 @@
 
 // next returns the next waiter for which there is room, or nil.
 func (q *Queue) next(now time.Duration, canSend func(*Waiter) bool) *Waiter {
-	if q.owed >= lowerShare-1 {
+	if q.sentSinceLower >= lowerShare-1 {
 		if w := q.firstOfLower(canSend); w != nil {
 			return w
 		}
@@ -378,12 +378,12 @@
 		if c.waiting == 0 || !c.pace.allow(now) {
 			continue
 		}
-		for _, w := range c.heads(maxProbes) {
+		for _, w := range c.firstWaiters(maxProbes) {
 			if canSend(w) {
 				return w
 			}
 		}
-		c.pace.recordCrowded(now)
+		c.pace.recordQueues(now)
 		c.pace.begin(now, c.sends.rate(now))
 	}
 	return nil
@@ -395,11 +395,11 @@
 	if lower == nil {
 		return nil
 	}
-	w := lower.heads(1)[0]
-	w.Relaxed = true
+	w := lower.firstWaiters(1)[0]
+	w.ByMinShare = true
 	if canSend(w) {
 		return w
 	}
-	w.Relaxed = false
+	w.ByMinShare = false
 	return nil
 }
--- a/pkg/loadshed/queue_test.go
+++ b/pkg/loadshed/queue_test.go
@@ -81,7 +81,7 @@
 				q.RecordFirstByte(now, now, 0, time.Millisecond, time.Second)
 				room := 1
 				for _, w := range q.Release(now, func(w *Waiter) bool {
-					if room == 0 || (w.Priority == 2 && !w.Relaxed) {
+					if room == 0 || (w.Priority == 2 && !w.ByMinShare) {
 						return false
 					}
 					room--
@@ -199,7 +199,7 @@
 		if w.Priority == released.Priority && w.Account == released.Account && w.Deadline < released.Deadline {
 			rt.Fatalf("a later deadline was served first")
 		}
-		if w.Priority < released.Priority && !released.Relaxed && !w.class.pace.limited {
+		if w.Priority < released.Priority && !released.ByMinShare && !w.class.pace.limited {
 			rt.Fatalf("priority %d was served before %d", released.Priority, w.Priority)
 		}
 	}
--- a/pkg/relay/hedge.go
+++ b/pkg/relay/hedge.go
@@ -156,8 +156,8 @@
 		"outcome", string(outcome), "waited_ms", waited.Milliseconds(), "took_ms", took.Milliseconds(), "saved_ms", saved.Milliseconds())
 }
 
-// replacedReason returns why an attempt is ended whose standby had a response first. A target that
-// was not silent for long enough is no failed one.
+// replacedReason returns why an attempt is cancelled whose standby responded first. It counts as a
+// failure of the target only if the silence timeout had passed.
 func (a *attempt) replacedReason() error {
 	if a.silences == 0 {
 		return errSuperseded
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -107,11 +107,11 @@
 	// excess is how far the best target was above the request's limit when it arrived.
 	excess time.Duration
 	// ended receives the result of the wait.
-	ended chan capacity
+	ended chan waitResult
 }
 
-// capacity is the result of a wait: a target, or a refusal.
-type capacity struct {
+// waitResult is the result of a wait: a target, or a refusal.
+type waitResult struct {
 	choice  balance.Choice
 	refusal *refusal
 }
@@ -124,7 +124,7 @@
 		q.overloadLimit = 0
 		return q.chooseTarget(excluded, allowed)
 	}
-	r := &waitingRequest{q: q, ticket: queue.ticket(q), ended: make(chan capacity, 1)}
+	r := &waitingRequest{q: q, ticket: queue.ticket(q), ended: make(chan waitResult, 1)}
 	if choice, refusal, decided := queue.tryNow(r); decided {
 		return choice, refusal
 	}
@@ -245,15 +245,15 @@
 	now := c.control.relay.Now()
 	for _, expired := range c.queue.Expire(now) {
 		waiter := expired.Waiter
-		c.end(waiter, capacity{refusal: c.refusal(c.waiting[waiter], expired.Refusal, now-waiter.EnqueuedAt)})
+		c.end(waiter, waitResult{refusal: c.refusal(c.waiting[waiter], expired.Refusal, now-waiter.EnqueuedAt)})
 	}
 	if c.isStopping() {
 		for waiter := range c.waiting {
 			c.queue.Leave(waiter)
-			c.end(waiter, capacity{refusal: stoppingRefusal()})
+			c.end(waiter, waitResult{refusal: stoppingRefusal()})
 		}
 	}
-	results := map[*loadshed.Waiter]capacity{}
+	results := map[*loadshed.Waiter]waitResult{}
 	released := c.queue.Release(now, func(waiter *loadshed.Waiter) bool {
 		result, decided := c.offer(waiter, now)
 		if decided {
@@ -270,25 +270,25 @@
 
 // offer tries to choose a target for a waiting request. It reports false if the request has to go
 // on waiting.
-func (c *capacityQueue) offer(waiter *loadshed.Waiter, now time.Duration) (capacity, bool) {
+func (c *capacityQueue) offer(waiter *loadshed.Waiter, now time.Duration) (waitResult, bool) {
 	r := c.waiting[waiter]
-	r.q.overloadLimit = c.limit(r, waiter.Relaxed, reopenFraction)
+	r.q.overloadLimit = c.limit(r, waiter.ByMinShare, reopenFraction)
 	choice, refusal := c.choose(r, now)
 	if refusal != nil {
-		return capacity{refusal: refusal}, refusal.reason != balance.ReasonOverload
+		return waitResult{refusal: refusal}, refusal.reason != balance.ReasonOverload
 	}
 	// Engines delay requests beyond the limit of their class, so that their waits mean nothing.
-	r.q.isAdmitted = !waiter.Relaxed
+	r.q.isAdmitted = !waiter.ByMinShare
 	c.meters.count(waiter.Priority, "sent")
 	c.meters.waited.RecordDuration(now - waiter.EnqueuedAt)
 	c.control.relay.Log.Log(eventlog.OverloadAdmitted, "request_id", r.q.meta.ID, "service", c.service, "class", waiter.Priority, "account", waiter.Account,
 		"waited_ms", (now - waiter.EnqueuedAt).Milliseconds(), "expected_ms", choice.ExpectedTTFB.Milliseconds(), "limit_ms", r.q.maxExpectedTTFB().Milliseconds(),
-		"min_share", waiter.Relaxed, "waiting", c.queue.Len())
-	return capacity{choice: choice}, true
+		"min_share", waiter.ByMinShare, "waiting", c.queue.Len())
+	return waitResult{choice: choice}, true
 }
 
 // end tells a request that is no longer in the queue the result of its wait.
-func (c *capacityQueue) end(waiter *loadshed.Waiter, result capacity) {
+func (c *capacityQueue) end(waiter *loadshed.Waiter, result waitResult) {
 	r := c.waiting[waiter]
 	delete(c.waiting, waiter)
 	c.updateLength(waiter.Priority)
--- a/pkg/relay/overloadlimit.go
+++ b/pkg/relay/overloadlimit.go
@@ -97,10 +97,7 @@
 	if q.account == nil {
 		ticket.Tokens = float64(q.meta.PromptTokens + q.meta.OutputTokens)
 	}
-	lead := loadshed.Limits(q.class(), c.classes.classes)
-	if lead == 0 {
-		lead = loadshed.SoftLimit(q.class())
-	}
+	lead := loadshed.QueueTarget(q.class(), c.classes.classes)
 	ticket.Lead = max(minLead, min(lead+c.promptTime.Of(now, float64(q.meta.PromptTokens)), wait/2))
 	return ticket
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -186,8 +186,8 @@
 	// caller has; nil if it has none. Only targets of that version can continue it.
 	streamVersion *string
 	firstByte     time.Duration
-	// versionTurn is what a rollout decided for the next attempt, if that goes to the new version.
-	versionTurn VersionTurn
+	// versionDecision is what a rollout decided for the next attempt, if that goes to the new version.
+	versionDecision VersionDecision
 	// overloadLimit is the longest expected time to the first byte at which overload control
 	// lets the request be sent; 0 sets no limit.
 	overloadLimit time.Duration
--- a/pkg/relay/rollout.go
+++ b/pkg/relay/rollout.go
@@ -17,17 +17,17 @@
 // moves to another one. Its methods must not block.
 type VersionRollouts interface {
 	// Next decides where the next attempt of a request goes. isRetry is set if it is not the first one.
-	Next(service string, isRetry bool) VersionTurn
-	// Return is called for a turn for which no attempt begins.
-	Return(turn VersionTurn)
-	// Begin is called when an attempt begins at a target. The turn is the zero value if no place in
+	Next(service string, isRetry bool) VersionDecision
+	// Return is called for a decision for which no attempt begins.
+	Return(decision VersionDecision)
+	// Begin is called when an attempt begins at a target. The decision is the zero value if no place in
 	// a budget was reserved for it.
-	Begin(target fleet.Target, turn VersionTurn) VersionAttempt
+	Begin(target fleet.Target, decision VersionDecision) VersionAttempt
 }
 
-// VersionTurn is the decision for an attempt.
-type VersionTurn struct {
-	canary.Turn
+// VersionDecision is the decision for an attempt.
+type VersionDecision struct {
+	canary.Decision
 	// Version is the new software version.
 	Version string
 	// Rollout identifies the rollout.
@@ -57,21 +57,21 @@
 // allows, if there is one.
 func (q *request) pick(req *balance.Request, targets []fleet.Target) (balance.Choice, *balance.Refusal) {
 	relay := q.relay
-	q.versionTurn = VersionTurn{}
+	q.versionDecision = VersionDecision{}
 	if relay.VersionRollouts == nil || q.streamVersion != nil {
 		return relay.Balancer.Pick(relay.Now(), req, targets)
 	}
-	turn := relay.VersionRollouts.Next(q.service, q.attempts > 0)
-	if turn.Use == canary.AnyVersion {
+	decision := relay.VersionRollouts.Next(q.service, q.attempts > 0)
+	if decision.Use == canary.AnyVersion {
 		return relay.Balancer.Pick(relay.Now(), req, targets)
 	}
 	allowed := req.SoftwareVersions
-	newOnly, others := q.splitVersions(allowed, turn.Version, targets)
+	newOnly, others := q.splitVersions(allowed, decision.Version, targets)
 	order := []map[string]bool{others}
 	switch {
-	case turn.Use.PrefersNew():
+	case decision.Use.PrefersNew():
 		order = []map[string]bool{newOnly, others}
-	case turn.Use == canary.OldVersionsFirst:
+	case decision.Use == canary.OldVersionsFirst:
 		order = []map[string]bool{others, newOnly}
 	}
 	var choice balance.Choice
@@ -79,15 +79,15 @@
 	for _, versions := range order {
 		req.SoftwareVersions = versions
 		choice, rejection = relay.Balancer.Pick(relay.Now(), req, targets)
-		if rejection == nil || (turn.Use == canary.NewVersionIfAvailable && !isUnavailable(rejection)) {
+		if rejection == nil || (decision.Use == canary.NewVersionIfAvailable && !isUnavailable(rejection)) {
 			break
 		}
 	}
-	if rejection != nil || choice.Target.SoftwareVersion != turn.Version {
-		relay.VersionRollouts.Return(turn)
+	if rejection != nil || choice.Target.SoftwareVersion != decision.Version {
+		relay.VersionRollouts.Return(decision)
 		return choice, rejection
 	}
-	q.versionTurn = turn
+	q.versionDecision = decision
 	return choice, nil
 }
 
@@ -121,8 +121,8 @@
 	if q.relay.VersionRollouts == nil {
 		return
 	}
-	a.version = q.relay.VersionRollouts.Begin(a.choice.Target, q.versionTurn)
-	q.versionTurn = VersionTurn{}
+	a.version = q.relay.VersionRollouts.Begin(a.choice.Target, q.versionDecision)
+	q.versionDecision = VersionDecision{}
 }
 
 // endVersion records the end of an attempt for the rollout of its service, once.
--- a/pkg/relay/rollout_test.go
+++ b/pkg/relay/rollout_test.go
@@ -20,18 +20,18 @@
 	ends         []AttemptEnd
 }
 
-func (f *fakeRollout) Next(_ string, isRetry bool) VersionTurn {
+func (f *fakeRollout) Next(_ string, isRetry bool) VersionDecision {
 	f.asked = append(f.asked, isRetry)
 	use := f.first
 	if isRetry {
 		use = f.retry
 	}
-	return VersionTurn{Turn: canary.Turn{Use: use}, Version: "v2"}
+	return VersionDecision{Decision: canary.Decision{Use: use}, Version: "v2"}
 }
 
-func (f *fakeRollout) Return(VersionTurn) { f.returned++ }
+func (f *fakeRollout) Return(VersionDecision) { f.returned++ }
 
-func (f *fakeRollout) Begin(target fleet.Target, _ VersionTurn) VersionAttempt {
+func (f *fakeRollout) Begin(target fleet.Target, _ VersionDecision) VersionAttempt {
 	f.begun = append(f.begun, target.SoftwareVersion)
 	return f
 }
@@ -85,7 +85,7 @@
 			// The retry has no place in the budget.
 			So(f.returned, ShouldEqual, 1)
 		})
-		Convey("a request that finds no target of the new version goes to the old one, and returns its turn", func() {
+		Convey("a request that finds no target of the new version goes to the old one, and returns its decision", func() {
 			world, result := sendDuringRollout(t, route, f, []string{"v1"}, ok)
 			So(result.status, ShouldEqual, 200)
 			So(world.received, ShouldResemble, []string{"t0"})
