Orders in series: withdrawn versions get no requests, and an order for the only version completes

Change: a version whose rollout was not completed is withdrawn for later orders; without any target of another version the ordered one gets the requests, and the leader completes the order. Test: TestOrdersInSeries.

--- a/pkg/canary/judge.go
+++ b/pkg/canary/judge.go
@@ -75,6 +75,7 @@
 	ReasonNoTargets    = "no_targets"
 	ReasonCrashes      = "crashes"
 	ReasonFromStore    = "store"
+	ReasonOnlyVersion  = "only_version"
 	ReasonShownSound   = "shown_sound"
 	ReasonNothingFound = "nothing_found"
 )
--- a/pkg/entry/canary.go
+++ b/pkg/entry/canary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	byService map[string]*serviceRollout
+	// withdrawn holds, by service, the versions whose rollouts were reverted, or replaced by another
+	// order before they were complete. The inner maps are never changed.
+	withdrawn map[string]map[string]bool
 	runs      canaryRuns
 	// storeHeardAt is the time of the latest message about a rollout from a peer that reaches
 	// the store.
@@ -42,7 +46,10 @@
 type serviceRollout struct {
 	*canary.Rollout
 	// learnedAt is the time at which this process learned of the order.
-	learnedAt  time.Duration
+	learnedAt time.Duration
+	// hasOld is set once a target of a version was listed that the order replaces. Without one
+	// there is nothing to move from.
+	hasOld     bool
 	finding    canary.Finding
 	progressAt time.Duration
 	// record is the store's record as the leader knows it. It is valid if recordClaim is the
@@ -55,7 +62,7 @@
 
 func newCanaryKeeper(entry *Entry) *canaryKeeper {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &canaryKeeper{entry: entry, changed: make(chan struct{}, 1), random: random, byService: map[string]*serviceRollout{}, runs: newCanaryRuns()}
+	return &canaryKeeper{entry: entry, changed: make(chan struct{}, 1), random: random, byService: map[string]*serviceRollout{}, withdrawn: map[string]map[string]bool{}, runs: newCanaryRuns()}
 }
 
 // applyOrder applies an operator's order.
@@ -86,7 +93,10 @@
 		if order.Revision <= latest.Revision {
 			return nil
 		}
+		state, _ := known.State()
+		k.setWithdrawn(order.Service, latest.Target, state != canary.Complete)
 	}
+	k.setWithdrawn(order.Service, order.Target, false)
 	bounds := canary.Bounds{Share: k.entry.settings.ExposureShare, Rollback: k.entry.settings.RollbackTime}
 	r := &serviceRollout{Rollout: canary.New(now, age, order, bounds, k.random), learnedAt: now}
 	k.byService[order.Service] = r
@@ -97,6 +107,29 @@
 	return r
 }
 
+// setWithdrawn records whether a version of a service is withdrawn. The caller must hold k.mu.
+func (k *canaryKeeper) setWithdrawn(service, version string, isWithdrawn bool) {
+	versions := maps.Clone(k.withdrawn[service])
+	if versions == nil {
+		versions = map[string]bool{}
+	}
+	if isWithdrawn {
+		versions[version] = true
+	} else {
+		delete(versions, version)
+	}
+	k.withdrawn[service] = versions
+}
+
+// updateOld looks for a target that the order replaces, unless one has been seen. The caller must
+// hold k.mu.
+func (k *canaryKeeper) updateOld(now time.Duration, r *serviceRollout) {
+	if !r.hasOld {
+		order := r.Order()
+		r.hasOld = k.hasOldTarget(now, &order, k.withdrawn[order.Service])
+	}
+}
+
 // learn applies what a peer knows of rollouts.
 func (k *canaryKeeper) learn(now time.Duration, sender string, news []canary.News) {
 	if k == nil || len(news) == 0 {
@@ -227,6 +260,10 @@
 			return
 		}
 	}
+	if isLeader && k.isOnlyVersion(now, r) && r.Raise(canary.Switching, canary.ReasonOnlyVersion) {
+		k.handleChange(now, r, sourceSelf)
+		return
+	}
 	finding, changed := r.Judge(now, isLeader)
 	r.finding = finding
 	if changed {
@@ -238,6 +275,15 @@
 	}
 }
 
+// isOnlyVersion reports whether the service has targets of the ordered version alone, so that the
+// order is already carried out. Targets whose entries lapsed during an outage of the registry have
+// registered again by then. The caller must hold k.mu.
+func (k *canaryKeeper) isOnlyVersion(now time.Duration, r *serviceRollout) bool {
+	k.updateOld(now, r)
+	order := r.Order()
+	return !r.hasOld && r.Age(now) >= fleet.RegistryRecoveryGrace && k.entry.directory.IsRegistryAvailable() && k.hasTarget(now, &order)
+}
+
 // reportProgress logs and measures the progress of a rollout. The caller must hold k.mu.
 func (k *canaryKeeper) reportProgress(now time.Duration, r *serviceRollout) {
 	order := r.Order()
--- a/pkg/entry/canaryrecords.go
+++ b/pkg/entry/canaryrecords.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/baobabhub/baobabhub/pkg/canary"
 	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/kv"
 )
 
@@ -181,9 +183,9 @@
 	k.mu.Lock()
 	state, _ := r.State()
 	isDue := state == canary.Unknown && now-r.learnedAt >= recordReadDelay && (r.readAt == 0 || now-r.readAt >= recordReadInterval)
-	order := r.Order()
+	order, withdrawn := r.Order(), k.withdrawn[r.Order().Service]
 	k.mu.Unlock()
-	if !isDue || k.hasOldTarget(now, &order) {
+	if !isDue || k.hasOldTarget(now, &order, withdrawn) {
 		return nil
 	}
 	k.mu.Lock()
@@ -192,15 +194,18 @@
 	return errors.Trace(k.readRecord(ctx, r, recordClaim{}))
 }
 
-// hasOldTarget reports whether a target of another version than the ordered one is listed.
-func (k *canaryKeeper) hasOldTarget(now time.Duration, order *canary.Order) bool {
-	targets := k.entry.directory.Targets(now)
-	for i := range targets {
-		if targets[i].Service == order.Service && targets[i].SoftwareVersion != order.Target {
-			return true
-		}
-	}
-	return false
+// hasOldTarget reports whether a target is listed of a version that the order replaces.
+func (k *canaryKeeper) hasOldTarget(now time.Duration, order *canary.Order, withdrawn map[string]bool) bool {
+	return slices.ContainsFunc(k.entry.directory.Targets(now), func(t fleet.Target) bool {
+		return t.Service == order.Service && t.SoftwareVersion != order.Target && !withdrawn[t.SoftwareVersion]
+	})
+}
+
+// hasTarget reports whether a target of the ordered version is listed.
+func (k *canaryKeeper) hasTarget(now time.Duration, order *canary.Order) bool {
+	return slices.ContainsFunc(k.entry.directory.Targets(now), func(t fleet.Target) bool {
+		return t.Service == order.Service && t.SoftwareVersion == order.Target
+	})
 }
 
 // isProcessName reports whether a sender of counts is a process of the own group, not another group.
--- a/pkg/entry/canaryruns.go
+++ b/pkg/entry/canaryruns.go
@@ -79,7 +79,15 @@
 	if !ok {
 		return relay.VersionDecision{}
 	}
-	return relay.VersionDecision{Decision: r.Next(k.entry.uptime(), isRetry, isAlone), Version: r.Order().Target, Rollout: r.Rollout}
+	now := k.entry.uptime()
+	decision := relay.VersionDecision{Version: r.Order().Target, Withdrawn: k.withdrawn[service], Rollout: r.Rollout}
+	k.updateOld(now, r)
+	if r.hasOld {
+		decision.Decision = r.Next(now, isRetry, isAlone)
+	} else {
+		decision.Use = canary.NewVersionIfAvailable
+	}
+	return decision
 }
 
 // Return implements relay.VersionRollouts.
--- a/pkg/relay/rollout.go
+++ b/pkg/relay/rollout.go
@@ -30,6 +30,9 @@
 	canary.Decision
 	// Version is the new software version.
 	Version string
+	// Withdrawn holds the versions that get no requests, since an earlier rollout of them was
+	// not completed.
+	Withdrawn map[string]bool
 	// Rollout identifies the rollout.
 	Rollout *canary.Rollout
 }
@@ -67,6 +70,7 @@
 	}
 	allowed := req.SoftwareVersions
 	newOnly, others := q.splitVersions(allowed, decision.Version, targets)
+	maps.DeleteFunc(others, func(version string, _ bool) bool { return decision.Withdrawn[version] })
 	order := []map[string]bool{others}
 	switch {
 	case decision.Use.PrefersNew():
