Only fleets of several groups share samples of drain rates

Change: samples are shared only if the fleet has more than one group of processes, where each sees a target too rarely.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -180,6 +180,8 @@
 	heads           *headShares
 	importDelays    importDelays
 	limits          *targetlimit.Table
+	// sharesDrain is set if this process reports its samples of drain rates to its peers.
+	sharesDrain bool
 	// onDrained is called when this process has no more requests in flight at a
 	// target that is cordoned or loading weights, or no more that wait for the
 	// first byte. It must not block.
--- a/pkg/balance/drain_test.go
+++ b/pkg/balance/drain_test.go
@@ -132,6 +132,8 @@
 			}
 			other := newBalancer("dc0")
 			other.SetAdaptive(true)
+			So(b.LocalLoads(now)[KeyOf("e0")].Drain.isZero(), ShouldBeTrue)
+			b.ShareDrain(true)
 			other.targetState(targets[0].Boot())
 			for range drainReportCycle {
 				other.SetPeerLoads(now, "peer", b.LocalLoads(now))
--- a/pkg/balance/peers.go
+++ b/pkg/balance/peers.go
@@ -91,12 +91,21 @@
 		return load
 	}
 	load.Pace = s.ownPace.reported(now)
-	if b.reportsDrain(key) {
+	if b.sharesDrain && b.reportsDrain(key) {
 		load.Drain = s.drain.current(now).reported()
 	}
 	return load
 }
 
+// ShareDrain sets whether this process reports its samples of drain rates to its peers. In a small
+// fleet each process has enough samples of its own; those of others were taken behind other queues
+// and hide how much the targets differ. In a large one a process sees each target too rarely.
+func (b *Balancer) ShareDrain(shares bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sharesDrain = shares
+}
+
 // reportsDrain reports whether the current report holds the samples for a target.
 func (b *Balancer) reportsDrain(key TargetKey) bool {
 	return int(key%drainReportCycle) == b.reportCount%drainReportCycle
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -163,6 +163,7 @@
 	names := m.names()
 	m.mu.Unlock()
 	m.groups.prune(&topology)
+	m.entry.balancer.ShareDrain(len(topology.Ranked) > 1)
 	m.entry.balancer.Limits().SetMembers(m.entry.uptime(), names)
 	m.entry.limiter.SetPeers(m.entry.uptime(), limiterPeers(&topology, m.entry.settings.VM))
 	m.entry.log.Log(eventlog.MembersChanged, "members", strings.Join(names, ","), "group", topology.Own,
