--- a/test/callers/crowd_test.go
+++ b/test/callers/crowd_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/baobabhub/baobabhub/platform/platformfake"
 )
 
 // writeTimeout is the time after which a caller gives up writing to a process that
@@ -37,7 +39,7 @@
 
 // head returns the head of a request without the blank line that ends it.
 func head(path string, caller int, fields ...string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Baobabhub-Request-Id: crowd-%d\r\nX-Api-Key: key-1\r\n", path, caller) +
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%s: crowd-%d\r\n%s: key-1\r\n", path, platformfake.HeaderRequestID, caller, platformfake.HeaderAPIKey) +
 		strings.Join(append(fields, ""), "\r\n")
 }
 
