TestLink waits until the closed connection has ended

Cause: the link closes an open connection when it goes down and records that fault when the connection has ended, which may be after the next connection has been rejected.

--- a/pkg/fake/linkfake/linkfake_test.go
+++ b/pkg/fake/linkfake/linkfake_test.go
@@ -106,6 +106,10 @@
 		})
 		Convey("A connection that is rejected because the link is down is recorded without an address", func() {
 			link.SetDown(true)
+			// The fault on the open connection is recorded when that has ended.
+			for link.openConnections() > 0 {
+				time.Sleep(time.Millisecond)
+			}
 			ok, _ = echoes(dial(), longWait)
 			So(ok, ShouldBeFalse)
 			disturbances := link.Disturbances()
