--- a/review/_standin2/engine.go
+++ b/review/_standin2/engine.go
@@ -20,6 +20,9 @@
 // plainWork is the time that a plain request takes.
 const plainWork = 60 * time.Millisecond
 
+// crashingPart is a part of prompts that crashes each engine that begins to write an answer on it.
+const crashingPart = "dead0001:"
+
 // engine is a model engine in a process of its own. It serves streams of events, of which some
 // have neither a length nor chunks and end with their connection.
 type engine struct {
@@ -129,12 +132,17 @@
 	return h.Sum32()%100 < e.unframedPercent
 }
 
-// stream answers with the events that the path asks for: /PREFIX/COUNT/PAUSE_MS.
+// stream answers with the events that the path asks for: /PREFIX/COUNT/PAUSE_MS[/PREFILL_MS].
 func (e *engine) stream(conn net.Conn, r *http.Request) bool {
 	fields := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	count, _ := strconv.Atoi(fields[1])
 	pause, _ := strconv.Atoi(fields[2])
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	// The time that the prompt takes may follow.
+	prefill := pause
+	if len(fields) > 3 {
+		prefill, _ = strconv.Atoi(fields[3])
+	}
 	id := r.Header.Get("X-Baobabhub-Request-Id")
 	unframed := e.isUnframed(id)
 	framing := "Transfer-Encoding: chunked\r\n"
@@ -142,6 +150,11 @@
 		framing = "Connection: close\r\n"
 	}
 	e.logf("begins %s at event %d of %d, without a length: %v", id, first+1, count, unframed)
+	time.Sleep(time.Duration(prefill-pause) * time.Millisecond)
+	if strings.Contains(r.Header.Get("X-Baobabhub-Prompt-Prefix"), crashingPart) {
+		e.logf("crashes under %s", id)
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
 	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Baobabhub-Stamp: %s.%s\r\n%s%s\r\n", e.id, id, e.common(r), framing); err != nil {
 		return false
 	}
--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -182,11 +182,16 @@
 	_ = p.cmd.Process.Signal(syscall.SIGUSR1)
 }
 
-// kill ends an engine's process.
-func (f *fleet) kill(p *engineProcess) {
+// forget ends the writes of an engine's entry.
+func (f *fleet) forget(p *engineProcess) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.engines, p.id)
-	f.mu.Unlock()
+}
+
+// kill ends an engine's process.
+func (f *fleet) kill(p *engineProcess) {
+	f.forget(p)
 	_ = p.cmd.Process.Kill()
 	_ = p.cmd.Wait()
 	f.record.log("engine %s has been killed", p.id)
@@ -194,9 +199,7 @@
 
 // unregister removes the entry of an engine.
 func (f *fleet) unregister(p *engineProcess) {
-	f.mu.Lock()
-	delete(f.engines, p.id)
-	f.mu.Unlock()
+	f.forget(p)
 	f.store.Remove("servers/" + p.id)
 }
 
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -57,7 +57,7 @@
 		f.close()
 		os.Exit(exitNotRun)
 	}()
-	cases := map[string]func(bool) (bool, error){"crash": f.crashCase, "removal": f.removalCase, "crowd": f.crowdCase}
+	cases := map[string]func(bool) (bool, error){"crash": f.crashCase, "removal": f.removalCase, "crowd": f.crowdCase, "part": f.partCase}
 	run, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no case", name)
