--- a/review/_standin2/crowd.go
+++ b/review/_standin2/crowd.go
@@ -7,33 +7,40 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// crowdSize is the number of callers that send the beginning of a request, each from an
-	// address of its own.
-	crowdSize = 3000
-	// reopenDelay is the time after which one of them connects again when it was cut off.
+	// crowdSize is the number of clients that stop just short of the end of a body.
+	crowdSize = 2000
+	// crowdBody is the length of their bodies, far below the limit.
+	crowdBody = 600
+	// reopenDelay is the time after which one of them comes again when it was answered or cut off.
 	reopenDelay = 500 * time.Millisecond
 	// ordinaryInterval is the interval of the ordinary requests, and ordinaryBudget their time.
 	ordinaryInterval = 50 * time.Millisecond
 	ordinaryBudget   = 3 * time.Second
-	ordinaryRequests = 600
+	ordinaryRequests = 1000
 	// minServedShare is the share of ordinary requests below which they are not served any more.
 	minServedShare = 0.25
 )
 
-// joinCrowd connects from an address, sends the beginning of a request, and stops half-way.
-func joinCrowd(ctx context.Context, from net.IP, address string, opened *atomic.Int64) {
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: from}, Timeout: time.Second}
-	for ctx.Err() == nil {
+// crowdAddress is the address of all clients of the crowd. It is not that of the ordinary callers.
+var crowdAddress = net.IPv4(127, 200, 1, 1)
+
+// joinCrowd connects, sends a request but for the last byte of its body, and stays.
+func joinCrowd(ctx context.Context, n int, address string, opened *atomic.Int64) {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: crowdAddress}, Timeout: time.Second}
+	for try := 0; ctx.Err() == nil; try++ {
 		if conn, err := dialer.DialContext(ctx, "tcp4", address); err == nil {
 			opened.Add(1)
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-			if _, err := io.WriteString(conn, "POST /bon/1 HTTP/1.1\r\nHost: h.exa"); err == nil {
+			text := fmt.Sprintf("POST /lettre/4/20 HTTP/1.1\r\nHost: h.example\r\nX-Baobabhub-Request-Id: c-%d-%d\r\nX-Api-Key: key-1\r\n"+
+				"X-Baobabhub-Deadline-Ms: 12000\r\nContent-Length: %d\r\n\r\n%s", n, try, crowdBody, strings.Repeat("b", crowdBody-1))
+			if _, err := io.WriteString(conn, text); err == nil {
 				_, _ = io.Copy(io.Discard, conn)
 			}
 			stop()
@@ -99,9 +106,9 @@
 	return resp.StatusCode, time.Duration(seconds * float64(time.Second))
 }
 
-// crowdCase sends ordinary requests beside a crowd whose connections come from many addresses.
+// crowdCase sends ordinary requests beside a crowd of clients that stop just short of their ends.
 func (f *fleet) crowdCase(trouble bool) (broken bool, err error) {
-	_, entries, err := f.startDeployment(plainConfig, 3, 1)
+	_, entries, err := f.startDeployment(crowdConfig, 3, 1)
 	if err != nil {
 		return false, err
 	}
@@ -110,7 +117,7 @@
 	var opened atomic.Int64
 	if trouble {
 		for n := range crowdSize {
-			wg.Go(func() { joinCrowd(ctx, net.IPv4(127, 200, byte(1+n/250), byte(1+n%250)), entries[0].address, &opened) })
+			wg.Go(func() { joinCrowd(ctx, n, entries[0].address, &opened) })
 		}
 	}
 	time.Sleep(5 * time.Second)
@@ -123,7 +130,7 @@
 	ordinary.Wait()
 	cancel()
 	wg.Wait()
-	f.record.log("the crowd opened %d connections from %d addresses", opened.Load(), crowdSize)
+	f.record.log("the crowd of %d clients opened %d connections", crowdSize, opened.Load())
 	f.record.log("ordinary requests: %d sent, %d served, ends %v", count.sent, count.served, count.ends)
 	return float64(count.served) < minServedShare*float64(count.sent), nil
 }
--- a/review/_standin2/streams.go
+++ b/review/_standin2/streams.go
@@ -18,8 +18,9 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"t1","api_keys":["key-1"],"unit":"tokens","plain_tokens":200,"rate_per_s":10000000,"burst":10000000}]}`
 
-// plainConfig has a plain service.
-const plainConfig = `{"version":1,"routes":[
+// crowdConfig has a route for ordinary requests and one for those of a crowd.
+const crowdConfig = `{"version":1,"routes":[
+ {"name":"lettre-client","host":"h.example","prefix":"/lettre/","kind":"stream","timeout_ms":12000,"slo_ms":600,"gap_target_ms":400,"priority":1,"service":"redacteur","attempts":1,"sticky":true},
  {"name":"echange-bon","host":"h.example","prefix":"/bon/","kind":"non_idempotent","timeout_ms":3000,"slo_ms":300,"priority":2,"service":"redacteur","attempts":1}],
  "services":[{"name":"redacteur","health_path":"/health","max_conns":100}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -169,10 +170,10 @@
 
 const (
 	// crashInterval is the time from the return of an engine to the next crash, and crashTime the
-	// time for which it is away.
-	crashInterval = 1500 * time.Millisecond
-	crashTime     = 3 * time.Second
-	crashes       = 20
+	// time for which it is away: three heartbeats, after which its entry is removed.
+	crashInterval = 1400 * time.Millisecond
+	crashTime     = 3 * heartbeatInterval
+	crashes       = 18
 )
 
 // crashCase kills one engine after the other while it writes streams of which half have no length.
