A response whose status is none is no answer: one strict reader of heads

What callers saw: a target's answer with status 000, 020, 099 or 101 was passed over like an informational response, and what followed on the connection, such as the body of that answer, was taken for the answer (200). A status above 599 reached the caller with the target's body. A plain service's status 000 was returned by the service client as an answer, an order's and a report's likewise.

Cause: the readers left it to net/http what is a response. http.ReadResponse takes any three characters that strconv.Atoi reads, and targetconn took all below 200 for informational; http.Transport returns status 000 as it is.

Change: pkg/strictresponse checks the heads in the bytes of a connection before net/http parses them. targetconn (requests, and questions for the run of a target) and all HTTP clients of the product (engines' reports, orders, cache stores, the platform's store, plain services, agents' engines, the key-value service, routers' status) read through it. A status has three digits from 100 to 599, 101 is none that we ask for, and an informational response has no body. The bound on heads, which stood in four places, is now the one there. Attempts with an invalid response are counted (invalid_responses), and attempt_failed names what was wrong.

--- /dev/null
+++ b/pkg/fake/rawfake/rawfake.go
@@ -0,0 +1,106 @@
+// Package rawfake answers requests with bytes that a test chooses, on real sockets:
+// responses that are broken, and unusual ones that are valid.
+package rawfake
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/juju/errors"
+)
+
+// End is what happens to the connection after a response.
+type End int
+
+const (
+	// Close closes the connection. If bytes of the request are unread, the kernel
+	// resets it.
+	Close End = iota
+	// Reset resets the connection.
+	Reset
+	// AwaitPeer keeps the connection open until the peer closes it.
+	AwaitPeer
+)
+
+// Response is a response of fixed bytes.
+type Response struct {
+	// Name describes the response in the name of a test.
+	Name string
+	// Text is sent as it is.
+	Text string
+	End  End
+}
+
+// Serve writes the response to a connection on which a request has been read, and ends it.
+func (r Response) Serve(conn net.Conn) {
+	// An error means that the peer has closed the connection.
+	if _, err := io.WriteString(conn, r.Text); err == nil && r.End == AwaitPeer {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok && r.End == Reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// Server is a server that gives each request the same response, after it has read the
+// request.
+type Server struct {
+	listener net.Listener
+	wg       sync.WaitGroup
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// NewServer starts a Server on the loopback interface.
+func NewServer(response Response) (*Server, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Annotate(err, "listening on the loopback interface")
+	}
+	s := &Server{listener: listener}
+	s.wg.Go(func() { s.accept(response) })
+	return s, nil
+}
+
+// Address returns the server's host:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server and closes its connections.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Server) accept(response Response) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, conn)
+		s.mu.Unlock()
+		s.wg.Go(func() { serveConn(conn, response) })
+	}
+}
+
+func serveConn(conn net.Conn, response Response) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err == nil {
+		response.Serve(conn)
+	}
+}
--- /dev/null
+++ b/pkg/fake/rawfake/responses.go
@@ -0,0 +1,75 @@
+package rawfake
+
+import (
+	"fmt"
+	"strings"
+)
+
+// WholeBody is the body of the responses that Valid returns, and ForgedBody the one that no
+// reader may take for the body of a response that InvalidStatuses or InvalidFields return.
+const (
+	WholeBody  = `{"whole":1}`
+	ForgedBody = `{"forged":1}`
+)
+
+// framed returns a response with a body of stated length. Fields are header lines, each with its
+// CR LF.
+func framed(statusLine, fields, body string) string {
+	return fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", statusLine, fields, len(body), body)
+}
+
+// InvalidStatuses returns responses whose status is none of an answer to a plain request. Each
+// once has a body, and once one that looks like a valid response.
+func InvalidStatuses(fields string) []Response {
+	forged := framed("HTTP/1.1 200 OK", fields, ForgedBody)
+	var responses []Response
+	for _, status := range []string{"000", "020", "099", "-00", "+20", "101", "600", "999", "20", "2000", "2 0", ""} {
+		line, name := "HTTP/1.1 "+status+" Text", fmt.Sprintf("status %q", status)
+		responses = append(responses, Response{Name: name, Text: framed(line, fields, ForgedBody), End: AwaitPeer},
+			Response{Name: name + " with a response as its body", Text: framed(line, fields, forged), End: AwaitPeer})
+	}
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x00K", "http/1.1 200 OK", "HTTP/1.1"} {
+		responses = append(responses, Response{Name: fmt.Sprintf("status line %q", line), Text: framed(line, fields, ForgedBody), End: AwaitPeer})
+	}
+	return append(responses, Response{
+		Name: "an informational response with a response as its body", End: AwaitPeer,
+		Text: framed("HTTP/1.1 103 Early Hints", "", forged),
+	}, Response{
+		Name: "an informational response in chunks", End: AwaitPeer,
+		Text: fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n%s", forged),
+	})
+}
+
+// Valid returns unusual responses that are valid. All have status 200 and WholeBody.
+func Valid(fields string) []Response {
+	whole := framed("HTTP/1.1 200 OK", fields, WholeBody)
+	chunked := "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n"
+	chunk := fmt.Sprintf("%x", len(WholeBody))
+	responses := []Response{
+		{Name: "no reason", Text: framed("HTTP/1.1 200 ", fields, WholeBody)},
+		{Name: "no reason and no blank", Text: framed("HTTP/1.1 200", fields, WholeBody)},
+		{Name: "a reason in Latin-1", Text: framed("HTTP/1.1 200 D\xe9j\xe0 vu\t!", fields, WholeBody)},
+		{Name: "version 1.0", Text: framed("HTTP/1.0 200 OK", fields, WholeBody)},
+		{Name: "lines that end with LF alone", Text: strings.ReplaceAll(whole, "\r\n", "\n")},
+		{Name: "an informational response before it", Text: "HTTP/1.1 100 Continue\r\n\r\n" + whole},
+		{Name: "informational responses with fields before it", Text: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nLink: </b>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + whole},
+		{Name: "an unknown informational response before it", Text: "HTTP/1.1 199 Wait\r\nX-A:\r\n\r\n" + whole},
+		{Name: "an informational response that states a length of 0 before it", Text: "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + whole},
+		{Name: "an informational response of version 1.0 before it", Text: "HTTP/1.0 100 Continue\r\n\r\n" + whole},
+		{Name: "no length", Text: "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + WholeBody},
+		{Name: "no length, version 1.0", Text: "HTTP/1.0 200 OK\r\n" + fields + "\r\n" + WholeBody},
+		{Name: "one chunk", Text: chunked + "\r\n" + chunk + "\r\n" + WholeBody + "\r\n0\r\n\r\n"},
+		{Name: "a chunk with an extension", Text: chunked + "\r\n" + chunk + ";a=\"b\"\r\n" + WholeBody + "\r\n0;c\r\n\r\n"},
+		{Name: "trailers", Text: chunked + "Trailer: X-A\r\n\r\n" + chunk + "\r\n" + WholeBody + "\r\n0\r\nX-A: 1\r\nX-B:\r\nX-C: \xe9\r\n\r\n"},
+	}
+	for _, field := range []string{
+		"X-Empty:", "X-Empty: ", "X-Latin: caf\xe9", "X-Utf-8: \xe2\x82\xac", "X-Tab: a\tb", "X-No-Blank:a", "X-Blanks: \t a \t ",
+		"!#$%&'*+-.^_`|~09azAZ: 1", "x: :", "X-Folded: a\r\n b\r\n\tc", "X-Folded:\r\n b", "X-Long: " + strings.Repeat("x", 20<<10),
+		"Set-Cookie: a=b\r\nSet-Cookie: c=d", "X-Quoted: \"a\\\"b\"",
+	} {
+		name := fmt.Sprintf("the field %.40q", field)
+		responses = append(responses, Response{Name: name, Text: framed("HTTP/1.1 200 OK", fields+field+"\r\n", WholeBody)},
+			Response{Name: name + " first", Text: framed("HTTP/1.1 200 OK", field+"\r\n"+fields, WholeBody)})
+	}
+	return responses
+}
--- a/pkg/oncehttp/client.go
+++ b/pkg/oncehttp/client.go
@@ -15,24 +15,24 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 const (
 	maxIdleConns    = 64
 	idleConnTimeout = 30 * time.Second
-	// maxResponseHeaderBytes bounds the size of a response header.
-	maxResponseHeaderBytes = 1 << 16
 )
 
 // Client is an HTTP/1.1 client with its own connection pool.
 type Client struct {
-	transport *http.Transport
+	transport *strictresponse.Transport
 }
 
 // New returns a Client whose connection attempts time out after dialTimeout.
 func New(dialTimeout time.Duration) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
+	return &Client{transport: strictresponse.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -40,11 +40,10 @@
 			}
 			return &sealableConn{Conn: conn}, nil
 		},
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdleConns,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+	})}
 }
 
 // Do sends one request and returns the response. On an error, sent reports whether
@@ -88,7 +87,7 @@
 
 // gotConn records the connection and its number of writes before the request.
 func (t *requestTracker) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*sealableConn)
+	conn, ok := sealable(info.Conn)
 	if !ok {
 		panic("oncehttp: connection was not dialed by this client")
 	}
@@ -97,6 +96,15 @@
 	t.conn, t.writesBefore = conn, conn.writeCount()
 }
 
+// sealable returns the sealableConn below a connection of the transport.
+func sealable(conn net.Conn) (*sealableConn, bool) {
+	if checked, ok := conn.(*strictresponse.Conn); ok {
+		conn = checked.Conn
+	}
+	sealableConn, ok := conn.(*sealableConn)
+	return sealableConn, ok
+}
+
 // sent reports whether any bytes of the request may have been sent. A connection
 // without a write for the request is sealed, so that none can be sent later.
 func (t *requestTracker) sent() bool {
--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/operator"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // requestTimeout limits one request. It exceeds the router's timeout for a fleet
@@ -28,7 +29,7 @@
 
 // New returns a client for the operator listener at address, in host:port form.
 func New(address string) *Client {
-	return &Client{address: address, httpClient: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}}
+	return &Client{address: address, httpClient: &http.Client{Timeout: requestTimeout, Transport: strictresponse.NewTransport(&http.Transport{})}}
 }
 
 // Close closes idle connections.
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/kv"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 	"github.com/juju/errors"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
@@ -54,7 +55,7 @@
 func NewClient(config Config) *Client {
 	return &Client{
 		config:  config,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}},
+		http:    &http.Client{Transport: strictresponse.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute})},
 		limiter: rate.NewLimiter(rate.Limit(config.CallsPerSecond), config.CallBurst),
 		started: time.Now(),
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/eventstream"
 	"github.com/baobabhub/baobabhub/pkg/membudget"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 	"github.com/baobabhub/baobabhub/pkg/targetconn"
 )
 
@@ -174,6 +175,9 @@
 	if a.err != nil {
 		message = a.err.Error()
 	}
+	if strictresponse.IsInvalid(a.err) {
+		q.relay.instruments.invalid.Inc(1)
+	}
 	endedBy := "target"
 	if a.endedBy != nil {
 		endedBy = a.endedBy.Error()
--- a/pkg/relay/meters.go
+++ b/pkg/relay/meters.go
@@ -14,8 +14,10 @@
 	aborted      tally.Counter
 	disconnected tally.Counter
 	attempts     tally.Counter
-	firstByte    tally.Histogram
-	total        tally.Histogram
+	// invalid counts the attempts whose response was no valid one.
+	invalid   tally.Counter
+	firstByte tally.Histogram
+	total     tally.Histogram
 
 	// hedges counts the hedges by what came of them, and hedgeSaved holds the estimated times that
 	// those saved that won.
@@ -41,6 +43,7 @@
 		aborted:      scope.Counter("answers_broken"),
 		disconnected: scope.Counter("callers_left"),
 		attempts:     scope.Counter("attempts"),
+		invalid:      scope.Counter("invalid_responses"),
 		firstByte:    scope.Histogram("first_byte_seconds", buckets),
 		total:        scope.Histogram("answer_seconds", buckets),
 		hedgesSent:   scope.Counter("hedges_sent"),
--- /dev/null
+++ b/pkg/strictresponse/conn.go
@@ -0,0 +1,50 @@
+package strictresponse
+
+import (
+	"net"
+	"sync"
+)
+
+// Conn is a connection to a server that checks the heads of the responses it reads. Its first
+// bytes are a head.
+type Conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// inHead is set from the beginning of a response to the end of its head.
+	inHead bool
+	head   head
+	// err is the first error of a check, after which nothing is read any more.
+	err error
+}
+
+// NewConn returns a Conn on a connection that has not been read from.
+func NewConn(conn net.Conn) *Conn {
+	return &Conn{Conn: conn, inHead: true}
+}
+
+// BeginResponse tells that the next bytes are the head of a response. It must be called before
+// each request.
+func (c *Conn) BeginResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHead = true
+	c.head.reset()
+}
+
+// Read implements net.Conn. It returns an error instead of the bytes with which a head
+// becomes invalid or too large.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil && c.inHead {
+		var ended bool
+		ended, c.err = c.head.check(p[:n])
+		c.inHead = !ended
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	return n, err
+}
--- /dev/null
+++ b/pkg/strictresponse/readers_test.go
@@ -0,0 +1,142 @@
+package strictresponse_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/baobabhub/baobabhub/pkg/engine"
+	"github.com/baobabhub/baobabhub/pkg/fake/rawfake"
+	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/kv"
+	"github.com/baobabhub/baobabhub/pkg/membudget"
+	"github.com/baobabhub/baobabhub/pkg/operatorclient"
+	vmplatform "github.com/baobabhub/baobabhub/pkg/platform"
+	"github.com/baobabhub/baobabhub/pkg/rollout"
+	"github.com/baobabhub/baobabhub/pkg/service"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
+	"github.com/baobabhub/baobabhub/pkg/targetconn"
+	"github.com/baobabhub/baobabhub/platform"
+)
+
+const (
+	// callTimeout bounds the calls of the readers that take a timeout.
+	callTimeout = 2 * time.Second
+	// maxBodyBytes bounds the bodies of targets' responses.
+	maxBodyBytes = 1 << 20
+)
+
+// reader is a place in the product that reads HTTP responses.
+type reader struct {
+	name string
+	// call sends a request to an address. It returns an error if there is no usable response.
+	call func(ctx context.Context, address string) error
+}
+
+// readers returns the places in the product that read responses of other processes.
+func readers() []reader {
+	target := func(address string) *fleet.Target { return &fleet.Target{ID: "t", Address: address} }
+	return []reader{
+		{"a request to a target", func(ctx context.Context, address string) error {
+			_, err := exchange(ctx, address, nil)
+			return err
+		}},
+		{"an engine's report", func(ctx context.Context, address string) error {
+			_, err := platform.NewEngineClient().Report(ctx, target(address))
+			return err
+		}},
+		{"an order to an engine", func(ctx context.Context, address string) error {
+			_, err := platform.NewEngineClient().SendOrder(ctx, target(address), rollout.LoadOrder{Model: "m", Version: 1})
+			return err
+		}},
+		{"the events of a cache store", func(ctx context.Context, address string) error {
+			_, err := platform.NewEngineClient().CacheEvents(ctx, address, 0, 0)
+			return err
+		}},
+		{"the platform's store", func(ctx context.Context, address string) error {
+			_, err := platform.NewStore(address, &kv.EraTracker{}).Get(ctx, "k")
+			return err
+		}},
+		{"a write to the platform's store", func(ctx context.Context, address string) error {
+			_, err := platform.NewStore(address, &kv.EraTracker{}).CompareAndSwap(ctx, kv.Put{Key: "k", Value: []byte("v")})
+			return err
+		}},
+		{"a call to a plain service", func(ctx context.Context, address string) error {
+			client := service.NewHTTP(address, service.Timeouts{Dial: callTimeout, Call: callTimeout})
+			defer client.Close()
+			_, err := client.Call(ctx, service.Call{Method: http.MethodPost, Path: "/once", Body: []byte("x"), RequestID: "r"})
+			return err
+		}},
+		{"an agent's call to its engine", func(ctx context.Context, address string) error {
+			client := engine.NewHTTP(address, engine.Timeouts{Dial: callTimeout, Call: callTimeout, Idle: callTimeout})
+			defer client.Close()
+			_, err := client.LoadReport(ctx)
+			return err
+		}},
+		{"the key-value service of routers and agents", func(ctx context.Context, address string) error {
+			client := vmplatform.NewClient(vmplatform.DefaultConfig(address))
+			defer client.Close()
+			_, err := client.Get(ctx, "k")
+			return err
+		}},
+		{"a router's status", func(ctx context.Context, address string) error {
+			client := operatorclient.New(address)
+			defer client.Close()
+			_, err := client.Status(ctx)
+			return err
+		}},
+	}
+}
+
+// exchange sends a request to a target and reads its whole response.
+func exchange(ctx context.Context, address string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := targetconn.NewPools().Get(ctx, &fleet.Target{ID: "t", Address: address}, 1, nil)
+	if err != nil {
+		return nil, err
+	}
+	exchange, _, err := conn.Send(ctx, &targetconn.Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	var unlimited *membudget.Budget
+	answer, err := exchange.ReadAll(unlimited.NewBuffer(), maxBodyBytes)
+	exchange.Finish(err == nil)
+	return answer, err
+}
+
+// callAll calls a server that sends the given response from each reader, and checks the error.
+func callAll(t *testing.T, response rawfake.Response, check func(err error)) {
+	server, err := rawfake.NewServer(response)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	for _, r := range readers() {
+		Convey(r.name+": "+response.Name, func() { check(r.call(t.Context(), server.Address())) })
+	}
+}
+
+// TestInvalidStatusFromAnyPeer guards against a status that is no answer's and is taken for one, or
+// for that of an informational response, so that a body is taken for the answer.
+func TestInvalidStatusFromAnyPeer(t *testing.T) {
+	for _, response := range rawfake.InvalidStatuses("") {
+		Convey("No reader takes a response with an invalid status, from "+response.Name, t, func() {
+			callAll(t, response, func(err error) { So(errors.Is(err, strictresponse.ErrInvalid), ShouldBeTrue) })
+		})
+	}
+}
+
+// TestValidFromAnyPeer guards against checks that refuse valid responses.
+func TestValidFromAnyPeer(t *testing.T) {
+	for _, response := range rawfake.Valid("") {
+		Convey("All readers take an unusual response that is valid, with "+response.Name, t, func() {
+			callAll(t, response, func(err error) { So(err, ShouldBeNil) })
+		})
+	}
+}
--- /dev/null
+++ b/pkg/strictresponse/strictresponse.go
@@ -0,0 +1,33 @@
+// Package strictresponse reads HTTP/1 responses of other processes and accepts valid ones only.
+//
+// net/http is lenient about what it reads as a response. Conn checks the heads in the bytes of a
+// connection before net/http parses them, so that each reader of responses, with net/http's client or
+// without it, applies the same rules: those of RFC 9112 for a status line, and no body in an
+// informational response. What is optional or obsolete but defined there is accepted: no reason, LF
+// alone at the end of a line, folded fields, and any byte above 0x7f in a value.
+package strictresponse
+
+import "github.com/juju/errors"
+
+// MaxHeadBytes bounds the head of a response: its status line and fields, and the
+// informational responses before it.
+const MaxHeadBytes = 64 << 10
+
+// Errors of responses that can't be used. Compare with errors.Is.
+const (
+	// ErrInvalid means that the bytes are no valid response. The text of the error names
+	// what is wrong with them.
+	ErrInvalid = errors.ConstError("invalid response")
+	// ErrHeadTooLarge means that a peer sent more than MaxHeadBytes without a complete head.
+	ErrHeadTooLarge = errors.ConstError("response head exceeds the size limit")
+)
+
+// IsInvalid reports whether err says that the bytes of a response made it unusable.
+func IsInvalid(err error) bool {
+	return errors.Is(err, ErrInvalid) || errors.Is(err, ErrHeadTooLarge)
+}
+
+// invalidf returns an ErrInvalid that names what is wrong.
+func invalidf(format string, args ...any) error {
+	return errors.WithType(errors.Errorf("invalid response: "+format, args...), ErrInvalid)
+}
--- /dev/null
+++ b/pkg/strictresponse/transport.go
@@ -0,0 +1,43 @@
+package strictresponse
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper that returns valid responses only. It does not speak TLS.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a Transport that sends its requests with base, which it takes over. If base
+// dials with net.Dialer.DialContext, connections are closed as that of base are.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*Conn); ok {
+			conn.BeginResponse()
+		}
+	}}
+	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -19,6 +19,7 @@
 
 	"github.com/baobabhub/baobabhub/pkg/membudget"
 	"github.com/baobabhub/baobabhub/pkg/sockstate"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -49,9 +50,9 @@
 type Conn struct {
 	pool   *pool
 	socket net.Conn
-	// reader buffers head, which bounds the heads that are read from socket.
-	reader *bufio.Reader
-	head   *headLimiter
+	// reader buffers responses, which checks the heads that are read from socket.
+	reader    *bufio.Reader
+	responses *strictresponse.Conn
 	// runChecked is set once the connection is known to lead to the run of the target in its pool.
 	runChecked bool
 	// carried holds the IDs of the latest requests on the connection.
@@ -162,16 +163,15 @@
 }
 
 // readHeader reads the header of the final response and skips informational
-// responses. It fails once the target has sent more than maxHeadBytes.
+// responses.
 func (c *Conn) readHeader(req *Request) (*http.Response, error) {
-	c.head.beginHead()
-	defer c.head.endHead()
+	c.responses.BeginResponse()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		if resp.StatusCode >= 200 {
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/fleet"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // Timeouts of connections to targets.
@@ -213,8 +214,11 @@
 }
 
 func newConn(p *pool, socket net.Conn) *Conn {
-	head := &headLimiter{socket: socket}
-	return &Conn{pool: p, socket: socket, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}
+	responses := strictresponse.NewConn(socket)
+	return &Conn{
+		pool: p, socket: socket, responses: responses, reader: bufio.NewReaderSize(responses, readBufferBytes),
+		idleTimeout: defaultIdleTimeout,
+	}
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
