A line of a head that is no field makes the answer invalid

What callers saw: a target's answer with a blank in the name of a field reached them as 200. A framing field with a blank before the colon (Transfer-Encoding, Content-Length) was not obeyed, so that the body was not the target's: its chunk sizes stood in it, or bytes beyond its length. The same in trailers and in the heads of informational responses. An empty name, and control bytes in values, passed too.

Cause: net/textproto keeps a name with a blank as it is and drops an empty one, and nobody looks at values. Two readers (the key-value service of routers and agents, a router's status) stopped after the JSON document and never saw the end of the answer.

Change: the strict reader checks each line of a head against the grammar of RFC 9112 with httpguts (golang.org/x/net, so far an indirect dependency), and the trailer at the end of the body. Folded values, empty ones, and bytes above 0x7f stay valid. All readers read a body to its end with strictresponse.ReadAll, which stood in four forms.

Not covered: an empty name in a trailer, which net/http drops; nothing of a trailer is passed on.

--- a/pkg/engine/http.go
+++ b/pkg/engine/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/oncehttp"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // maxBodyBytes limits the body of a response that is not a stream.
@@ -114,12 +114,11 @@
 			return errors.WithType(errors.Trace(err), ErrNotSent)
 		}
 	}
-	respBody, err := h.send(ctx, method, path, query, body)
+	resp, err := h.send(ctx, method, path, query, body) //nolint:bodyclose // ReadAll closes it
 	if err != nil {
 		return err
 	}
-	defer func() { _ = respBody.Close() }()
-	data, err := io.ReadAll(io.LimitReader(respBody, maxBodyBytes))
+	data, err := strictresponse.ReadAll(resp, maxBodyBytes)
 	if err != nil {
 		return h.connectionLost(err)
 	}
@@ -132,9 +131,9 @@
 	return nil
 }
 
-// send sends one request and returns the response body. It maps failures and
-// error statuses to the errors of this package.
-func (h *HTTP) send(ctx context.Context, method, path string, query url.Values, body []byte) (io.ReadCloser, error) {
+// send sends one request and returns the response, whose body the caller must close. It maps
+// failures and error statuses to the errors of this package.
+func (h *HTTP) send(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Response, error) {
 	endpoint := h.base
 	endpoint.Path, endpoint.RawQuery = path, query.Encode()
 	req, err := http.NewRequestWithContext(ctx, method, endpoint.String(), bytes.NewReader(body))
@@ -150,10 +149,9 @@
 		return nil, h.connectionLost(err)
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		defer func() { _ = resp.Body.Close() }()
 		return nil, statusError(resp)
 	}
-	return resp.Body, nil
+	return resp, nil
 }
 
 // connectionLost closes idle connections, since they may have failed like the
@@ -163,12 +161,12 @@
 	return errors.WithType(errors.Trace(err), ErrConnectionLost)
 }
 
-// statusError maps an error response to an error of this package. Responses that do
+// statusError reads an error response and maps it to an error of this package. Responses that do
 // not show whether the request ran map to ErrConnectionLost: those with CodeDuplicate,
 // with an unknown error code, or without a valid body.
 func statusError(resp *http.Response) error {
 	var body ErrorBody
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	data, err := strictresponse.ReadAll(resp, maxBodyBytes)
 	if err == nil {
 		err = json.Unmarshal(data, &body)
 	}
--- a/pkg/engine/lines.go
+++ b/pkg/engine/lines.go
@@ -33,16 +33,16 @@
 func (h *HTTP) openStream(ctx context.Context, method, path string, query url.Values, body []byte) (*lineReader, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	idleTimer := time.AfterFunc(h.timeouts.Idle, cancel)
-	respBody, err := h.send(ctx, method, path, query, body)
+	resp, err := h.send(ctx, method, path, query, body) //nolint:bodyclose // close closes it
 	idleTimer.Stop()
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	scanner := bufio.NewScanner(respBody)
+	scanner := bufio.NewScanner(resp.Body)
 	scanner.Buffer(make([]byte, 0, initialLineBytes), maxLineBytes)
 	return &lineReader{
-		body:        respBody,
+		body:        resp.Body,
 		scanner:     scanner,
 		idleTimeout: h.timeouts.Idle,
 		idleTimer:   idleTimer,
--- a/pkg/fake/rawfake/responses.go
+++ b/pkg/fake/rawfake/responses.go
@@ -73,3 +73,42 @@
 	}
 	return responses
 }
+
+// emptyName is a line with an empty name. In a trailer, net/http drops it before anybody sees it.
+const emptyName = ": 1"
+
+// invalidFields holds lines that are no header field, wherever they stand.
+var invalidFields = []string{
+	"X Name: 1", "X-Name : 1", "X-Name\t: 1", "X-\x01: 1", "X-\x00: 1", "X-\x7f: 1", "X-\xe9: 1", "X-\r: 1", emptyName, "no colon",
+	"X(1): 1", "\"X\": 1", "X@: 1", "X-Value: a\x00b", "X-Value: a\x01b", "X-Value: a\rb", "X-Value: a\x7fb", "X-Value: a\x1b[0m",
+	"Transfer-Encoding : chunked", "Content-Length : 1", "Transfer Encoding: chunked",
+}
+
+// InvalidFields returns responses in whose heads, in those of informational responses before them,
+// or in whose trailers a line is no valid field.
+func InvalidFields(fields string) []Response {
+	var responses []Response
+	add := func(name, text string) {
+		responses = append(responses, Response{Name: name, Text: text, End: AwaitPeer})
+	}
+	valid := framed("HTTP/1.1 200 OK", fields, ForgedBody)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(ForgedBody), ForgedBody)
+	chunked := "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunk
+	for _, field := range invalidFields {
+		line := field + "\r\n"
+		add(fmt.Sprintf("the last field %q", field), framed("HTTP/1.1 200 OK", fields+line, ForgedBody))
+		add(fmt.Sprintf("the first field %q", field), framed("HTTP/1.1 200 OK", line+fields, ForgedBody))
+		add(fmt.Sprintf("the field %q in an informational response", field), "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n"+valid)
+		if field != emptyName {
+			add(fmt.Sprintf("the field %q in the trailer", field), chunked+"X-A: 1\r\n"+line+"\r\n")
+		}
+	}
+	add("a blank before the first field", framed("HTTP/1.1 200 OK", " "+fields, ForgedBody))
+	add("a blank before the first field of an informational response", "HTTP/1.1 103 Early Hints\r\n X-A: 1\r\n\r\n"+valid)
+	add("a folded value with a control byte", framed("HTTP/1.1 200 OK", fields+"X-A: 1\r\n b\x00\r\n", ForgedBody))
+	head := "HTTP/1.1 200 OK\r\n" + fields
+	responses = append(responses,
+		Response{Name: "chunks behind a blank after the name Transfer-Encoding", Text: head + "Transfer-Encoding : chunked\r\n\r\n" + chunk + "\r\n"},
+		Response{Name: "a body longer than the length behind a blank after the name", Text: head + "Content-Length : 1\r\n\r\n" + ForgedBody})
+	return responses
+}
--- a/pkg/operatorclient/client.go
+++ b/pkg/operatorclient/client.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -58,14 +57,16 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	resp, err := c.httpClient.Do(req)
+	resp, err := c.httpClient.Do(req) //nolint:bodyclose // ReadAll closes it
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
+	data, err := strictresponse.ReadAll(resp, maxReplyBytes)
+	if err != nil {
+		return errors.Annotatef(err, "%s%s", c.address, path)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("%s%s: status %d", c.address, path, resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(dst)
-	return errors.Annotatef(err, "%s%s", c.address, path)
+	return errors.Annotatef(json.Unmarshal(data, dst), "%s%s", c.address, path)
 }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -18,6 +17,9 @@
 	"golang.org/x/time/rate"
 )
 
+// maxReplyBytes bounds the body of a response: a list of all keys below a prefix.
+const maxReplyBytes = 16 << 20
+
 // Config holds the settings of a Client.
 type Config struct {
 	// Address is the service's host:port.
@@ -173,20 +175,22 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	response, err := c.http.Do(request)
+	response, err := c.http.Do(request) //nolint:bodyclose // ReadAll closes it
+	if err != nil {
+		return errors.WithType(err, kv.ErrUnavailable)
+	}
+	data, err := strictresponse.ReadAll(response, maxReplyBytes)
 	if err != nil {
 		return errors.WithType(err, kv.ErrUnavailable)
 	}
-	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response.StatusCode); err != nil {
-		_, _ = io.Copy(io.Discard, response.Body)
 		if !errors.Is(err, kv.ErrUnavailable) {
 			c.lastContact.Store(int64(time.Since(c.started)))
 		}
 		return err
 	}
 	if reply != nil {
-		if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+		if err := json.Unmarshal(data, reply); err != nil {
 			return errors.WithType(err, kv.ErrUnavailable)
 		}
 	}
--- a/pkg/service/http.go
+++ b/pkg/service/http.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/oncehttp"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // MaxResponseBytes limits the body of a response.
@@ -64,18 +64,14 @@
 	if err != nil {
 		return Response{}, errors.WithType(err, ErrNotSent)
 	}
-	resp, sent, err := h.client.Do(req)
+	resp, sent, err := h.client.Do(req) //nolint:bodyclose // ReadAll closes it
 	if err != nil && !sent {
 		return Response{}, errors.WithType(errors.Trace(err), ErrNotSent)
 	}
 	if err != nil {
 		return Response{}, h.outcomeUnknown(err)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes+1))
-	if err == nil && len(body) > MaxResponseBytes {
-		err = errors.Errorf("response body exceeds %d bytes", MaxResponseBytes)
-	}
+	body, err := strictresponse.ReadAll(resp, MaxResponseBytes)
 	if err != nil {
 		return Response{}, h.outcomeUnknown(err)
 	}
--- a/pkg/strictresponse/conn.go
+++ b/pkg/strictresponse/conn.go
@@ -1,8 +1,12 @@
 package strictresponse
 
 import (
+	"bufio"
 	"net"
+	"net/http"
 	"sync"
+
+	"github.com/juju/errors"
 )
 
 // Conn is a connection to a server that checks the heads of the responses it reads. Its first
@@ -32,6 +36,22 @@
 	c.head.reset()
 }
 
+// ReadResponse reads the head of the next response to a request with the given method from reader,
+// which buffers c, and passes over the informational responses before it.
+func (c *Conn) ReadResponse(reader *bufio.Reader, method string) (*http.Response, error) {
+	c.BeginResponse()
+	for {
+		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			checkBody(resp)
+			return resp, nil
+		}
+	}
+}
+
 // Read implements net.Conn. It returns an error instead of the bytes with which a head
 // becomes invalid or too large.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/pkg/strictresponse/head.go
+++ b/pkg/strictresponse/head.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -20,8 +23,10 @@
 	// line holds the beginning of a line whose end has not arrived.
 	line []byte
 	// status is 0 until the status line has been read.
-	status  int
-	framing framing
+	status int
+	// hasField is set once a field has been read.
+	hasField bool
+	framing  framing
 }
 
 // framing is what a head says about the end of the body.
@@ -74,10 +79,22 @@
 		return false, err
 	case len(line) == 0:
 		return h.endHead()
+	case line[0] == ' ' || line[0] == '\t':
+		return false, h.checkContinuation(line)
 	default:
-		h.readField(line)
-		return false, nil
+		return false, h.readField(line)
+	}
+}
+
+// checkContinuation checks a line that continues the value of the field before it.
+func (h *head) checkContinuation(line []byte) error {
+	if !h.hasField {
+		return invalidf("blank before the first field %.40q", line)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(line)) {
+		return invalidf("continued value %.40q", line)
 	}
+	return nil
 }
 
 // endHead checks what only a whole head tells, and reports whether it is the final one.
@@ -86,19 +103,27 @@
 	if !isFinal && (h.framing.hasTransferEncoding || h.framing.hasLength) {
 		return false, invalidf("a body in an informational response, status %d", h.status)
 	}
-	h.status, h.framing = 0, framing{}
+	h.status, h.hasField, h.framing = 0, false, framing{}
 	return isFinal, nil
 }
 
-// readField records what a field says about the body.
-func (h *head) readField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+// readField checks a field and records what it says about the body.
+func (h *head) readField(line []byte) error {
+	name, value, ok := strings.Cut(string(line), ":")
+	if !ok {
+		return invalidf("line without a colon %.40q", line)
+	}
+	if err := checkField(name, value); err != nil {
+		return err
+	}
+	h.hasField = true
 	switch {
-	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+	case strings.EqualFold(name, "Transfer-Encoding"):
 		h.framing.hasTransferEncoding = true
-	case bytes.EqualFold(name, []byte("Content-Length")) && string(bytes.TrimSpace(value)) != "0":
+	case strings.EqualFold(name, "Content-Length") && strings.TrimSpace(value) != "0":
 		h.framing.hasLength = true
 	}
+	return nil
 }
 
 // parseStatusLine returns the status of a valid status line. 101 is none that a request without
@@ -117,20 +142,10 @@
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return 0, invalidf("status %s", code)
 	}
-	if !isText(reason) {
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
 		return 0, invalidf("reason %.40q", reason)
 	}
 	return status, nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
-
-// isText reports whether a reason or the value of a field holds no control bytes but tabs.
-func isText(text []byte) bool {
-	for _, b := range text {
-		if (b < ' ' && b != '\t') || b == 0x7f {
-			return false
-		}
-	}
-	return true
-}
--- a/pkg/strictresponse/readers_test.go
+++ b/pkg/strictresponse/readers_test.go
@@ -140,3 +140,13 @@
 		})
 	}
 }
+
+// TestInvalidFieldFromAnyPeer guards against a head or a trailer with a line that is no field, which net/http
+// passes over or reads as another field than other readers do.
+func TestInvalidFieldFromAnyPeer(t *testing.T) {
+	for _, response := range rawfake.InvalidFields("") {
+		Convey("No reader takes a response with an invalid field, with "+response.Name, t, func() {
+			callAll(t, response, func(err error) { So(errors.Is(err, strictresponse.ErrInvalid), ShouldBeTrue) })
+		})
+	}
+}
--- a/pkg/strictresponse/transport.go
+++ b/pkg/strictresponse/transport.go
@@ -36,7 +36,12 @@
 			conn.BeginResponse()
 		}
 	}}
-	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	checkBody(resp)
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that carry no request.
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -121,7 +121,7 @@
 		c.Close()
 		return nil, sent, errors.Annotate(err, "writing a request")
 	}
-	resp, err := c.readHeader(req) //nolint:bodyclose // the body is returned in the Exchange, whose Finish closes or reuses the connection
+	resp, err := c.responses.ReadResponse(c.reader, req.Method) //nolint:bodyclose // the body is returned in the Exchange, whose Finish closes or reuses the connection
 	if err != nil {
 		stopCancelWatch()
 		c.Close()
@@ -162,21 +162,6 @@
 	return true, nil
 }
 
-// readHeader reads the header of the final response and skips informational
-// responses.
-func (c *Conn) readHeader(req *Request) (*http.Response, error) {
-	c.responses.BeginResponse()
-	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
-	}
-}
-
 // SetIdleTimeout sets the time after which the target closes an idle connection.
 // It ignores a timeout of 0 or less.
 func (e *Exchange) SetIdleTimeout(timeout time.Duration) {
