A head that contradicts itself about the end of its body makes the answer invalid

What callers saw: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached them as 200 with the chunk sizes in its body, or cut at a stated length; of an answer with both a length and chunks, the length was dropped without a word.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and Content-Length beside Transfer-Encoding, and deletes the ignored field, so that nobody later can see it. RFC 9112, 6.1 and 6.3: the framing is faulty; no sender may do it.

Change: the strict reader sees both fields before net/http and refuses the head.

Evidence: before, TestInvalidFraming got 200 where 502 is wanted, and all four responses passed several readers of TestInvalidFramingFromAnyPeer. Both are green; the tables of valid responses, with HTTP/1.0 and chunks, stay green.

--- a/pkg/fake/rawfake/responses.go
+++ b/pkg/fake/rawfake/responses.go
@@ -28,7 +28,7 @@
 		responses = append(responses, Response{Name: name, Text: framed(line, fields, ForgedBody), End: AwaitPeer},
 			Response{Name: name + " with a response as its body", Text: framed(line, fields, forged), End: AwaitPeer})
 	}
-	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x00K", "http/1.1 200 OK", "HTTP/1.1"} {
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200 O\x00K", "http/1.1 200 OK", "HTTP/1.1", "1 200 OK", "HTTP/1.+ 200 OK", ""} {
 		responses = append(responses, Response{Name: fmt.Sprintf("status line %q", line), Text: framed(line, fields, ForgedBody), End: AwaitPeer})
 	}
 	return append(responses, Response{
@@ -112,3 +112,16 @@
 		Response{Name: "a body longer than the length behind a blank after the name", Text: head + "Content-Length : 1\r\n\r\n" + ForgedBody})
 	return responses
 }
+
+// InvalidFraming returns responses whose heads contradict themselves about the end of the body.
+func InvalidFraming(fields string) []Response {
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(ForgedBody), ForgedBody)
+	framing := "Transfer-Encoding: chunked\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(ForgedBody))
+	return []Response{
+		{Name: "chunks and a length", Text: "HTTP/1.1 200 OK\r\n" + fields + framing + length + "\r\n" + chunks, End: AwaitPeer},
+		{Name: "a length and chunks", Text: "HTTP/1.1 200 OK\r\n" + fields + length + framing + "\r\n" + chunks, End: AwaitPeer},
+		{Name: "chunks in version 1.0", Text: "HTTP/1.0 200 OK\r\n" + fields + framing + "\r\n" + chunks},
+		{Name: "chunks and a length in version 1.0", Text: "HTTP/1.0 200 OK\r\n" + fields + framing + length + "\r\n" + ForgedBody, End: AwaitPeer},
+	}
+}
--- a/pkg/strictresponse/head.go
+++ b/pkg/strictresponse/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
@@ -23,7 +24,8 @@
 	// line holds the beginning of a line whose end has not arrived.
 	line []byte
 	// status is 0 until the status line has been read.
-	status int
+	status       int
+	minorVersion int
 	// hasField is set once a field has been read.
 	hasField bool
 	framing  framing
@@ -31,9 +33,9 @@
 
 // framing is what a head says about the end of the body.
 type framing struct {
-	hasTransferEncoding bool
-	// hasLength is set if there is a length other than 0.
-	hasLength bool
+	hasTransferEncoding, hasLength bool
+	// hasBody is set unless the length is 0.
+	hasBody bool
 }
 
 // check checks the next bytes, and reports whether the head of the final response has ended.
@@ -75,7 +77,7 @@
 func (h *head) checkLine(line []byte) (ended bool, err error) {
 	switch {
 	case h.status == 0:
-		h.status, err = parseStatusLine(line)
+		h.status, h.minorVersion, err = parseStatusLine(string(line))
 		return false, err
 	case len(line) == 0:
 		return h.endHead()
@@ -100,8 +102,14 @@
 // endHead checks what only a whole head tells, and reports whether it is the final one.
 func (h *head) endHead() (ended bool, err error) {
 	isFinal := h.status >= http.StatusOK
-	if !isFinal && (h.framing.hasTransferEncoding || h.framing.hasLength) {
+	f := h.framing
+	switch {
+	case !isFinal && f.hasBody:
 		return false, invalidf("a body in an informational response, status %d", h.status)
+	case f.hasTransferEncoding && f.hasLength:
+		return false, invalidf("both Transfer-Encoding and Content-Length")
+	case f.hasTransferEncoding && h.minorVersion == 0:
+		return false, invalidf("Transfer-Encoding in HTTP/1.0")
 	}
 	h.status, h.hasField, h.framing = 0, false, framing{}
 	return isFinal, nil
@@ -119,33 +127,36 @@
 	h.hasField = true
 	switch {
 	case strings.EqualFold(name, "Transfer-Encoding"):
-		h.framing.hasTransferEncoding = true
-	case strings.EqualFold(name, "Content-Length") && strings.TrimSpace(value) != "0":
+		h.framing.hasTransferEncoding, h.framing.hasBody = true, true
+	case strings.EqualFold(name, "Content-Length"):
 		h.framing.hasLength = true
+		h.framing.hasBody = h.framing.hasBody || strings.TrimSpace(value) != "0"
 	}
 	return nil
 }
 
-// parseStatusLine returns the status of a valid status line. 101 is none that a request without
-// Upgrade can get.
-func parseStatusLine(line []byte) (status int, err error) {
-	const prefix, digits = "HTTP/1.x ", 3
-	isVersion := len(line) >= len(prefix) && string(line[:len("HTTP/1.")]) == "HTTP/1." && isDigit(line[len("HTTP/1.")]) && line[len(prefix)-1] == ' '
-	if !isVersion {
-		return 0, invalidf("status line %.40q", line)
-	}
-	code, reason, _ := bytes.Cut(line[len(prefix):], []byte(" "))
-	if len(code) != digits || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
-		return 0, invalidf("status %.10q", code)
-	}
-	status = int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
-	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return 0, invalidf("status %s", code)
-	}
-	if !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return 0, invalidf("reason %.40q", reason)
+// parseStatusLine returns the status of a valid status line, and the x of its version HTTP/1.x. 101 is
+// no status that a request without Upgrade can get.
+func parseStatusLine(line string) (status, minorVersion int, err error) {
+	version, rest, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(rest, " ")
+	minor, isHTTP := strings.CutPrefix(version, "HTTP/1.")
+	minorVersion, isVersion := parseDigits(minor, 1)
+	status, isStatus := parseDigits(code, 3)
+	switch {
+	case !isHTTP || !isVersion:
+		return 0, 0, invalidf("status line %.40q", line)
+	case !isStatus || status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols:
+		return 0, 0, invalidf("status %.10q", code)
+	case !httpguts.ValidHeaderFieldValue(reason):
+		return 0, 0, invalidf("reason %.40q", reason)
+	default:
+		return status, minorVersion, nil
 	}
-	return status, nil
 }
 
-func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+// parseDigits returns the value of a text of the given number of digits.
+func parseDigits(text string, digits int) (value int, ok bool) {
+	number, err := strconv.ParseUint(text, 10, 16)
+	return int(number), err == nil && len(text) == digits
+}
--- a/pkg/strictresponse/readers_test.go
+++ b/pkg/strictresponse/readers_test.go
@@ -150,3 +150,12 @@
 		})
 	}
 }
+
+// TestInvalidFramingFromAnyPeer guards against a body whose end is not where its sender meant it.
+func TestInvalidFramingFromAnyPeer(t *testing.T) {
+	for _, response := range rawfake.InvalidFraming("") {
+		Convey("No reader takes a response that contradicts itself about the end of its body, with "+response.Name, t, func() {
+			callAll(t, response, func(err error) { So(errors.Is(err, strictresponse.ErrInvalid), ShouldBeTrue) })
+		})
+	}
+}
--- a/pkg/strictresponse/strictresponse.go
+++ b/pkg/strictresponse/strictresponse.go
@@ -2,8 +2,8 @@
 //
 // net/http is lenient about what it reads as a response. Conn checks the heads in the bytes of a
 // connection before net/http parses them, so that each reader of responses, with net/http's client or
-// without it, applies the same rules: those of RFC 9112 for status lines and fields, those of trailers too, and no body in
-// an informational response. What is optional or obsolete but defined there is accepted: no reason, LF
+// without it, applies the same rules: those of RFC 9112 for status lines and fields, those of trailers too, no body in
+// an informational response, and one way to tell where a body ends. What is optional or obsolete but defined there is accepted: no reason, LF
 // alone at the end of a line, folded fields, and any byte above 0x7f in a value.
 package strictresponse
 
