A reset beside an upload no longer ends an answer without a length as complete

What callers saw: a target answered an upload of 7 MB at once with a 200 that had no length, sent a part of its body and reset the connection, or closed it with bytes unread. The caller got the part as a complete answer, on each kind of route, streams too.

Cause: the kernel reports a reset once, to whoever uses the socket next. If that is the goroutine that writes the upload, its error was dropped; the reader sees a plain end, and a new connection to the target, which lives, confirms it.

Change: strictresponse.Upload holds the result of the write. The same for the product's HTTP clients, by httptrace.

--- a/pkg/eventstream/reader.go
+++ b/pkg/eventstream/reader.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/membudget"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 const (
@@ -47,12 +48,6 @@
 	LastID string
 }
 
-// HasFraming reports whether the header of a response tells where its body ends.
-// Otherwise the body ends with the connection.
-func HasFraming(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // isEventStream reports whether the header of a response says that its body is a stream of events.
 func isEventStream(resp *http.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
@@ -98,8 +93,8 @@
 	}
 	r := &Reader{
 		body: resp.Body, buffer: buffer, lastID: position.LastID,
-		onlyEvents: position.Begun || (isEventStream(resp) && !HasFraming(resp)),
-		mayBeEmpty: position.Begun && HasFraming(resp),
+		onlyEvents: position.Begun || (isEventStream(resp) && !strictresponse.HasFraming(resp)),
+		mayBeEmpty: position.Begun && strictresponse.HasFraming(resp),
 		checksIDs:  isEventStream(resp),
 	}
 	return r, nil
--- a/pkg/fake/rawfake/rawfake.go
+++ b/pkg/fake/rawfake/rawfake.go
@@ -32,6 +32,8 @@
 	// Text is sent as it is.
 	Text string
 	End  End
+	// Unread makes a Server respond before it reads the body of a request.
+	Unread bool
 }
 
 // Serve writes the response to a connection on which a request has been read, and ends it.
@@ -46,8 +48,7 @@
 	_ = conn.Close()
 }
 
-// Server is a server that gives each request the same response, after it has read the
-// request.
+// Server is a server that gives each request the same response.
 type Server struct {
 	listener net.Listener
 	wg       sync.WaitGroup
@@ -100,7 +101,10 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err == nil {
-		response.Serve(conn)
+	if !response.Unread {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 	}
+	response.Serve(conn)
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -175,8 +175,8 @@
 	if a.err != nil {
 		message = a.err.Error()
 	}
-	if strictresponse.IsInvalid(a.err) {
-		q.relay.instruments.invalid.Inc(1)
+	if strictresponse.IsBroken(a.err) {
+		q.relay.instruments.broken.Inc(1)
 	}
 	endedBy := "target"
 	if a.endedBy != nil {
--- a/pkg/relay/ending.go
+++ b/pkg/relay/ending.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/baobabhub/baobabhub/pkg/eventstream"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // errEndedWithTarget means that a response ended with its connection, and that nobody listens
@@ -20,7 +20,7 @@
 // before its last responses end.
 func (q *request) checkEnd(a *attempt) error {
 	resp := a.exchange.Response
-	if eventstream.HasFraming(resp) || resp.Body == http.NoBody || q.isLeaving(a) {
+	if strictresponse.HasFraming(resp) || resp.Body == http.NoBody || q.isLeaving(a) {
 		return nil
 	}
 	target := &a.choice.Target
--- a/pkg/relay/meters.go
+++ b/pkg/relay/meters.go
@@ -14,8 +14,8 @@
 	aborted      tally.Counter
 	disconnected tally.Counter
 	attempts     tally.Counter
-	// invalid counts the attempts whose response was no valid one.
-	invalid   tally.Counter
+	// broken counts the attempts whose response was broken.
+	broken    tally.Counter
 	firstByte tally.Histogram
 	total     tally.Histogram
 
@@ -43,7 +43,7 @@
 		aborted:      scope.Counter("answers_broken"),
 		disconnected: scope.Counter("callers_left"),
 		attempts:     scope.Counter("attempts"),
-		invalid:      scope.Counter("invalid_responses"),
+		broken:       scope.Counter("broken_responses"),
 		firstByte:    scope.Histogram("first_byte_seconds", buckets),
 		total:        scope.Histogram("answer_seconds", buckets),
 		hedgesSent:   scope.Counter("hedges_sent"),
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
-	"github.com/baobabhub/baobabhub/pkg/eventstream"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
+	"github.com/baobabhub/baobabhub/pkg/strictresponse"
 )
 
 // earlyCrashWindow is the time after a target's first event within which a crash may
@@ -124,7 +124,7 @@
 // targets.
 func (q *request) reportCrashEvidence(a *attempt, result outcome) {
 	switch {
-	case result == completed && eventstream.HasFraming(a.exchange.Response):
+	case result == completed && strictresponse.HasFraming(a.exchange.Response):
 		q.relay.Quarantine.Completed(q.crashRequest())
 	case result == completed:
 		q.relay.Quarantine.CompletedUnframed(a.choice.Target, q.crashRequest())
--- a/pkg/strictresponse/body.go
+++ b/pkg/strictresponse/body.go
@@ -13,14 +13,16 @@
 type body struct {
 	io.ReadCloser
 	resp *http.Response
+	// upload is the write of the request; nil if it had ended before the response was read.
+	upload *Upload
 	// err is the result of the last read; nil before it.
 	err error
 }
 
-// checkBody makes the body of a response fail at its end if the response is invalid.
-func checkBody(resp *http.Response) {
+// checkBody makes the body of a response fail at its end if the response is broken.
+func checkBody(resp *http.Response, upload *Upload) {
 	if resp.Body != http.NoBody {
-		resp.Body = &body{ReadCloser: resp.Body, resp: resp}
+		resp.Body = &body{ReadCloser: resp.Body, resp: resp, upload: upload}
 	}
 }
 
@@ -40,7 +42,7 @@
 	return data, nil
 }
 
-// Read implements io.Reader. It returns io.EOF only at the end of a valid response.
+// Read implements io.Reader. It returns io.EOF only at the end of a whole response.
 func (b *body) Read(p []byte) (int, error) {
 	if b.err != nil {
 		return 0, b.err
@@ -57,7 +59,7 @@
 	return n, err
 }
 
-// checkEnd returns io.EOF if the response is valid.
+// checkEnd returns io.EOF if the response is valid and complete.
 func (b *body) checkEnd() error {
 	for name, values := range b.resp.Trailer {
 		for _, value := range values {
@@ -66,6 +68,11 @@
 			}
 		}
 	}
+	if b.upload != nil && !HasFraming(b.resp) {
+		if err := b.upload.awaitEnd(); err != nil {
+			return errors.WithType(errors.Annotate(err, string(ErrCutOff)), ErrCutOff)
+		}
+	}
 	return io.EOF
 }
 
--- a/pkg/strictresponse/conn.go
+++ b/pkg/strictresponse/conn.go
@@ -37,8 +37,9 @@
 }
 
 // ReadResponse reads the head of the next response to a request with the given method from reader,
-// which buffers c, and passes over the informational responses before it.
-func (c *Conn) ReadResponse(reader *bufio.Reader, method string) (*http.Response, error) {
+// which buffers c, and passes over the informational responses before it. Upload is the write of the
+// request; nil if that has ended.
+func (c *Conn) ReadResponse(reader *bufio.Reader, method string, upload *Upload) (*http.Response, error) {
 	c.BeginResponse()
 	for {
 		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
@@ -46,7 +47,7 @@
 			return nil, errors.Trace(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			checkBody(resp)
+			checkBody(resp, upload)
 			return resp, nil
 		}
 	}
--- a/pkg/strictresponse/readers_test.go
+++ b/pkg/strictresponse/readers_test.go
@@ -1,6 +1,7 @@
 package strictresponse_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"testing"
@@ -159,3 +160,68 @@
 		})
 	}
 }
+
+const (
+	// uploadBytes is the size of a request that doesn't fit into the buffers of a connection.
+	uploadBytes = 8 << 20
+	// uploadTries is the number of times that an end of a connection is tried, since it may be seen
+	// first by the goroutine that writes or by the one that reads.
+	uploadTries = 8
+)
+
+// uploaders returns the readers whose requests may be large.
+func uploaders() []reader {
+	upload := bytes.Repeat([]byte("x"), uploadBytes)
+	return []reader{
+		{"a request to a target", func(ctx context.Context, address string) error {
+			_, err := exchange(ctx, address, upload)
+			return err
+		}},
+		{"a write to the platform's store", func(ctx context.Context, address string) error {
+			_, err := platform.NewStore(address, &kv.EraTracker{}).CompareAndSwap(ctx, kv.Put{Key: "k", Value: upload})
+			return err
+		}},
+		{"a call to a plain service", func(ctx context.Context, address string) error {
+			client := service.NewHTTP(address, service.Timeouts{Dial: callTimeout, Call: callTimeout})
+			defer client.Close()
+			_, err := client.Call(ctx, service.Call{Method: http.MethodPost, Path: "/once", Body: upload, RequestID: "r"})
+			return err
+		}},
+	}
+}
+
+// TestCutBesideUploadFromAnyPeer guards against a part of a response without a length that is taken for the
+// whole, although its connection was reset while the request was being written.
+func TestCutBesideUploadFromAnyPeer(t *testing.T) {
+	for name, end := range map[string]rawfake.End{"resets the connection": rawfake.Reset, "closes it with bytes unread": rawfake.Close} {
+		Convey("Given a peer that responds to an upload without a length, and "+name, t, func() {
+			server, err := rawfake.NewServer(rawfake.Response{Text: "HTTP/1.1 200 OK\r\n\r\n" + rawfake.WholeBody, End: end, Unread: true})
+			So(err, ShouldBeNil)
+			Reset(server.Close)
+			for _, r := range uploaders() {
+				Convey("the response is not complete for "+r.name, func() {
+					for range uploadTries {
+						So(r.call(t.Context(), server.Address()), ShouldNotBeNil)
+					}
+				})
+			}
+		})
+	}
+}
+
+// TestResponseBesideUploadFromAnyPeer guards against valid responses that are refused because of the upload
+// beside them.
+func TestResponseBesideUploadFromAnyPeer(t *testing.T) {
+	Convey("Given a peer that reads an upload and responds without a length", t, func() {
+		server, err := rawfake.NewServer(rawfake.Response{Text: "HTTP/1.1 200 OK\r\n\r\n" + rawfake.WholeBody})
+		So(err, ShouldBeNil)
+		Reset(server.Close)
+		for _, r := range uploaders() {
+			Convey("the response is complete for "+r.name, func() {
+				for range uploadTries {
+					So(r.call(t.Context(), server.Address()), ShouldBeNil)
+				}
+			})
+		}
+	})
+}
--- a/pkg/strictresponse/strictresponse.go
+++ b/pkg/strictresponse/strictresponse.go
@@ -3,11 +3,16 @@
 // net/http is lenient about what it reads as a response. Conn checks the heads in the bytes of a
 // connection before net/http parses them, so that each reader of responses, with net/http's client or
 // without it, applies the same rules: those of RFC 9112 for status lines and fields, those of trailers too, no body in
-// an informational response, and one way to tell where a body ends. What is optional or obsolete but defined there is accepted: no reason, LF
+// an informational response, and one way to tell where a body ends.
+// A body that ends with its connection is complete only if nothing contradicts that. What is optional or obsolete but defined there is accepted: no reason, LF
 // alone at the end of a line, folded fields, and any byte above 0x7f in a value.
 package strictresponse
 
-import "github.com/juju/errors"
+import (
+	"net/http"
+
+	"github.com/juju/errors"
+)
 
 // MaxHeadBytes bounds the head of a response: its status line and fields, and the
 // informational responses before it.
@@ -20,11 +25,20 @@
 	ErrInvalid = errors.ConstError("invalid response")
 	// ErrHeadTooLarge means that a peer sent more than MaxHeadBytes without a complete head.
 	ErrHeadTooLarge = errors.ConstError("response head exceeds the size limit")
+	// ErrCutOff means that a response without a length has ended with its connection while its
+	// request was being written, so that it may be incomplete.
+	ErrCutOff = errors.ConstError("response without a length may be cut off")
 )
 
-// IsInvalid reports whether err says that the bytes of a response made it unusable.
-func IsInvalid(err error) bool {
-	return errors.Is(err, ErrInvalid) || errors.Is(err, ErrHeadTooLarge)
+// IsBroken reports whether err says that a response was broken.
+func IsBroken(err error) bool {
+	return errors.Is(err, ErrInvalid) || errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrCutOff)
+}
+
+// HasFraming reports whether the header of a response tells where its body ends.
+// Otherwise the body ends with the connection.
+func HasFraming(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // invalidf returns an ErrInvalid that names what is wrong.
--- a/pkg/strictresponse/transport.go
+++ b/pkg/strictresponse/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // Transport is an http.RoundTripper that returns valid responses only. It does not speak TLS.
@@ -31,16 +32,22 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*Conn); ok {
-			conn.BeginResponse()
-		}
-	}}
+	// The transport may send a request again that a kept connection has lost.
+	var upload atomic.Pointer[Upload]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*Conn); ok {
+				conn.BeginResponse()
+			}
+			upload.Store(NewUpload())
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { upload.Load().End(info.Err) },
+	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	checkBody(resp)
+	checkBody(resp, upload.Load())
 	return resp, nil
 }
 
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -60,9 +59,8 @@
 	// idleTimeout is the time after which the target closes the idle connection.
 	idleTimeout time.Duration
 	idleSince   time.Time
-	// writing is set until a large body has been written completely. It stays set
-	// if the write fails.
-	writing atomic.Bool
+	// upload is the write of a large body beside its response; nil for a request without one.
+	upload *strictresponse.Upload
 }
 
 // Exchange is a request in progress whose response header has arrived.
@@ -121,7 +119,7 @@
 		c.Close()
 		return nil, sent, errors.Annotate(err, "writing a request")
 	}
-	resp, err := c.responses.ReadResponse(c.reader, req.Method) //nolint:bodyclose // the body is returned in the Exchange, whose Finish closes or reuses the connection
+	resp, err := c.responses.ReadResponse(c.reader, req.Method, c.upload) //nolint:bodyclose // the body is returned in the Exchange, whose Finish closes or reuses the connection
 	if err != nil {
 		stopCancelWatch()
 		c.Close()
@@ -131,6 +129,7 @@
 }
 
 func (c *Conn) write(req *Request) (sent bool, err error) {
+	c.upload = nil
 	var header bytes.Buffer
 	header.Grow(1024)
 	header.WriteString(req.Method + " " + req.URI + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
@@ -150,14 +149,11 @@
 	if err != nil {
 		return n > 0, errors.Trace(err)
 	}
-	c.writing.Store(true)
+	upload := strictresponse.NewUpload()
+	c.upload = upload
 	go func() {
-		// A failed write also makes reading the response fail. If the response
-		// ends before the body is written, writing is still set and Finish closes
-		// the connection.
-		if _, err := c.socket.Write(req.Body); err == nil {
-			c.writing.Store(false)
-		}
+		_, err := c.socket.Write(req.Body)
+		upload.End(err)
 	}()
 	return true, nil
 }
@@ -194,13 +190,16 @@
 func (e *Exchange) Finish(complete bool) {
 	ctxDone := !e.stopCancelWatch()
 	c := e.conn
-	if !complete || ctxDone || e.Response.Close || c.writing.Load() || c.reader.Buffered() > 0 {
+	if !complete || ctxDone || e.Response.Close || c.isUploading() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
 	c.pool.putIdle(c)
 }
 
+// isUploading reports whether a large body has not been written completely.
+func (c *Conn) isUploading() bool { return c.upload != nil && !c.upload.Succeeded() }
+
 // Return returns a connection on which nothing has been sent since Get to its pool.
 func (c *Conn) Return() { c.pool.putIdle(c) }
 
