Heads of many short fields count against the memory of responses

What callers saw: nothing yet; a crowd would have lost all its requests with the process. A target that answers many callers at once with heads of 63 KiB made of distinct short fields, each within the bound, took a process with 96 MB to 208 MB, and with a body without end behind such a head to 100 MB.

Cause: net/http makes some 13,000 places in a map of such a head, about 1 MB, and nobody counted it. Heads, bodies and events without end were bounded; heads only by their bytes.

Change: while a head arrives, the strict reader claims an estimate of its memory (as callers' heads: 4 bytes a byte, 200 a line) from the budget of responses; up to 16 KiB a head needs no claim. Readers without a budget (reports, orders, the store, plain services) take heads up to an estimate of 512 KiB.

Informational responses, trailers and chunk extensions without end were bounded already.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -62,6 +62,8 @@
 	// the complete body of a response that is not a stream.
 	buffer *membudget.Buffer
 	body   []byte
+	// headMemory is the memory of the response's head.
+	headMemory *membudget.Claim
 	// eventCopies is the memory of events on their way to the caller.
 	eventCopies *membudget.Claim
 
@@ -80,8 +82,8 @@
 	q.attempts++
 	a := &attempt{number: q.attempts, choice: choice, startedAt: relay.Now(), position: q.streamPosition(), events: make(chan []byte)}
 	a.buffer = relay.Buffers.NewBuffer()
-	a.eventCopies = relay.Buffers.NewClaim()
-	q.buffers = append(q.buffers, a.buffer, a.eventCopies)
+	a.headMemory, a.eventCopies = relay.Buffers.NewClaim(), relay.Buffers.NewClaim()
+	q.buffers = append(q.buffers, a.buffer, a.headMemory, a.eventCopies)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	relay.instruments.attempts.Inc(1)
 	q.beginVersion(a)
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -31,6 +31,7 @@
 	exchange, sent, err := conn.Send(a.ctx, &targetconn.Request{
 		Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: relay.Codec.ForwardHeader(q.r.Header, q.forwardFields(a)), Body: q.body,
+		HeadMemory: a.headMemory,
 	})
 	a.sent = sent
 	if err != nil {
--- a/pkg/strictresponse/conn.go
+++ b/pkg/strictresponse/conn.go
@@ -27,27 +27,35 @@
 	return &Conn{Conn: conn, inHead: true}
 }
 
-// BeginResponse tells that the next bytes are the head of a response. It must be called before
-// each request.
-func (c *Conn) BeginResponse() {
+// beginResponse tells that the next bytes are the head of a response, which takes the given memory. It must
+// be called before each request, or before its response is read.
+func (c *Conn) beginResponse(memory Memory) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = true
-	c.head.reset()
+	c.head.reset(memory)
 }
 
-// ReadResponse reads the head of the next response to a request with the given method from reader,
-// which buffers c, and passes over the informational responses before it. Upload is the write of the
-// request; nil if that has ended.
-func (c *Conn) ReadResponse(reader *bufio.Reader, method string, upload *Upload) (*http.Response, error) {
-	c.BeginResponse()
+// Request is what the reader of a response has to know of its request.
+type Request struct {
+	Method string
+	// Upload is the write of the request; nil if that has ended.
+	Upload *Upload
+	// Memory is what the head of the response takes; nil if nobody counts it.
+	Memory Memory
+}
+
+// ReadResponse reads the head of the response to a request from reader, which buffers c, and passes over
+// the informational responses before it.
+func (c *Conn) ReadResponse(reader *bufio.Reader, req Request) (*http.Response, error) {
+	c.beginResponse(req.Memory)
 	for {
-		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			checkBody(resp, upload)
+			checkBody(resp, req.Upload)
 			return resp, nil
 		}
 	}
--- a/pkg/strictresponse/head.go
+++ b/pkg/strictresponse/head.go
@@ -16,11 +16,34 @@
 	maxStatus = 599
 )
 
+// Estimates of the memory that a head takes once net/http has parsed it, in bytes: the text that was read,
+// field values, and places in header maps, which grow.
+const (
+	headByteMemory = 4
+	headLineMemory = 200
+	// freeHeadMemory is the estimate up to which a head needs no claim.
+	freeHeadMemory = 16 << 10
+	// headClaimStep is the size of the steps in which a claim grows.
+	headClaimStep = 4 << 10
+	// maxUnclaimedMemory bounds the estimate of a head that has no claim.
+	maxUnclaimedMemory = 512 << 10
+)
+
+// Memory is memory that a response may take. A membudget.Claim is one.
+type Memory interface {
+	// Raise makes the memory at least size bytes large, and reports whether that is allowed.
+	Raise(size int64) bool
+}
+
 // head checks the head of a response, and those of the informational responses before it, while
 // their bytes arrive.
 type head struct {
-	// size is the number of bytes of all these heads.
-	size int
+	// size and lines are the numbers of bytes and lines of all these heads, and claimed the memory that
+	// was claimed for them.
+	size, lines int
+	claimed     int64
+	// memory is what the heads take; nil if nobody counts it.
+	memory Memory
 	// line holds the beginning of a line whose end has not arrived.
 	line []byte
 	// status is 0 until the status line has been read.
@@ -51,6 +74,9 @@
 		if h.size += len(part); h.size > MaxHeadBytes {
 			return false, ErrHeadTooLarge
 		}
+		if err := h.claim(); err != nil {
+			return false, err
+		}
 		if lineEnd == 0 || len(h.line) > 0 {
 			h.line = append(h.line, part...)
 			part = h.line
@@ -58,19 +84,36 @@
 		if lineEnd == 0 {
 			return false, nil
 		}
+		h.lines++
 		ended, err = h.checkLine(bytes.TrimSuffix(bytes.TrimSuffix(part, []byte("\n")), []byte("\r")))
 		h.line = h.line[:0]
 	}
 	return ended, err
 }
 
-// reset prepares for the next response.
-func (h *head) reset() {
+// claim claims the memory of the heads, before net/http takes it.
+func (h *head) claim() error {
+	size := int64(h.size)*headByteMemory + int64(h.lines)*headLineMemory
+	if size <= max(h.claimed, freeHeadMemory) {
+		return nil
+	}
+	if h.memory == nil && size > maxUnclaimedMemory {
+		return ErrHeadTooLarge
+	}
+	h.claimed = size + headClaimStep
+	if h.memory != nil && !h.memory.Raise(h.claimed) {
+		return ErrHeadMemory
+	}
+	return nil
+}
+
+// reset prepares for the next response, whose head takes the given memory.
+func (h *head) reset(memory Memory) {
 	line := h.line[:0]
 	if cap(line) > maxKeptLineBytes {
 		line = nil
 	}
-	*h = head{line: line}
+	*h = head{line: line, memory: memory}
 }
 
 // checkLine checks a line without its end, and reports whether it ends the final head.
--- a/pkg/strictresponse/readers_test.go
+++ b/pkg/strictresponse/readers_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/baobabhub/baobabhub/pkg/engine"
+	"github.com/baobabhub/baobabhub/pkg/fake/endlessfake"
 	"github.com/baobabhub/baobabhub/pkg/fake/rawfake"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/kv"
@@ -225,3 +229,43 @@
 		}
 	})
 }
+
+// maxReaderHeapBytes bounds the heap that reading one response without end may occupy, garbage included: the
+// largest bound on a body is 16 MiB.
+const maxReaderHeapBytes = 96 << 20
+
+// endlessResponses returns responses that never end.
+func endlessResponses() []endlessfake.Response {
+	var fields strings.Builder
+	for n := 0; fields.Len() < 63<<10; n++ {
+		fmt.Fprintf(&fields, "f%x:\r\n", n)
+	}
+	ok := "HTTP/1.1 200 OK\r\n"
+	chunked := ok + "Transfer-Encoding: chunked\r\n\r\n"
+	return slices.Concat(endlessfake.Heads(""), endlessfake.Bodies(""), []endlessfake.Response{
+		endlessfake.TinyChunks(""),
+		{Name: "a JSON text without end", Prefix: ok + "\r\n{\"key\":\"", Unit: "x"},
+		{Name: "a JSON text without end, in chunks", Prefix: chunked + "8\r\n{\"key\":\"\r\n", Unit: "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
+		{Name: "an error with a body without end", Prefix: "HTTP/1.1 500 No\r\n\r\n", Unit: "x"},
+		{Name: "short fields without end", Prefix: ok + fields.String(), Unit: "f:\r\n"},
+		{Name: "a body without end behind many short fields", Prefix: ok + fields.String()[:50<<10] + ":\r\n\r\n", Unit: "x"},
+	})
+}
+
+// TestEndlessFromAnyPeer guards against a process that exceeds its memory limit because a response never ends.
+func TestEndlessFromAnyPeer(t *testing.T) {
+	for _, response := range endlessResponses() {
+		Convey("No reader keeps a response that never ends, with "+response.Name, t, func() {
+			for _, r := range readers() {
+				server, err := endlessfake.NewServer(response)
+				So(err, ShouldBeNil)
+				Printf("%s\n", r.name)
+				var callErr error
+				heap := endlessfake.HeapPeak(func() { callErr = r.call(t.Context(), server.Address()) })
+				server.Close()
+				So(callErr, ShouldNotBeNil)
+				So(heap, ShouldBeLessThan, maxReaderHeapBytes)
+			}
+		})
+	}
+}
--- a/pkg/strictresponse/strictresponse.go
+++ b/pkg/strictresponse/strictresponse.go
@@ -23,8 +23,11 @@
 	// ErrInvalid means that the bytes are no valid response. The text of the error names
 	// what is wrong with them.
 	ErrInvalid = errors.ConstError("invalid response")
-	// ErrHeadTooLarge means that a peer sent more than MaxHeadBytes without a complete head.
+	// ErrHeadTooLarge means that a peer sent more than MaxHeadBytes without a complete head, or so many
+	// fields that they take too much memory.
 	ErrHeadTooLarge = errors.ConstError("response head exceeds the size limit")
+	// ErrHeadMemory means that the heads of all responses together leave no memory for one.
+	ErrHeadMemory = errors.ConstError("no memory for a response head")
 	// ErrCutOff means that a response without a length has ended with its connection while its
 	// request was being written, so that it may be incomplete.
 	ErrCutOff = errors.ConstError("response without a length may be cut off")
--- a/pkg/strictresponse/transport.go
+++ b/pkg/strictresponse/transport.go
@@ -37,7 +37,7 @@
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*Conn); ok {
-				conn.BeginResponse()
+				conn.beginResponse(nil)
 			}
 			upload.Store(NewUpload())
 		},
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -43,6 +43,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// HeadMemory is what the head of the response takes; nil if nobody counts it.
+	HeadMemory strictresponse.Memory
 }
 
 // Conn is a connection to a target. It carries one request at a time.
@@ -119,7 +121,7 @@
 		c.Close()
 		return nil, sent, errors.Annotate(err, "writing a request")
 	}
-	resp, err := c.responses.ReadResponse(c.reader, req.Method, c.upload) //nolint:bodyclose // the body is returned in the Exchange, whose Finish closes or reuses the connection
+	resp, err := c.responses.ReadResponse(c.reader, strictresponse.Request{Method: req.Method, Upload: c.upload, Memory: req.HeadMemory}) //nolint:bodyclose // the body is returned in the Exchange, whose Finish closes or reuses the connection
 	if err != nil {
 		stopCancelWatch()
 		c.Close()
--- a/test/callers/world_test.go
+++ b/test/callers/world_test.go
@@ -129,7 +129,7 @@
 }
 
 func configuration() string {
-	text := platformfake.Configuration{Version: 1, MaxConns: 200, LowRate: 1000, LowBurst: 1000, HeaderTimeout: headerTimeout,
+	text := platformfake.Configuration{Version: 1, MaxConns: 1000, LowRate: 1000, LowBurst: 1000, HeaderTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, ReplyTimeout: replyTimeout, StreamTimeout: streamTimeout}.JSON()
 	return strings.NewReplacer(`"max_header_bytes":16384`, fmt.Sprintf(`"max_header_bytes":%d`, maxHeaderBytes),
 		`"max_body_bytes":100000`, fmt.Sprintf(`"max_body_bytes":%d`, maxBodyBytes)).Replace(text)
