A planned stop passes on nothing that may not be answered in time

What callers saw: a request whose upload was still arriving at the end of the leave notice of a planned stop was passed on when it was complete, at any time until the end of the grace. If its target needed longer, a stream was cut in the middle, and any other request, also one that may not be repeated, got 504.

Cause: "refusing" was asked for when the header had been read, and never again. A request could wait for its body, or be sent to a second target, past it.

Change: before each time that a request which has not run would be sent to a target, the relay asks again. While requests are refused, it goes on only if its deadline is before the end of the drain; else the caller gets 503, not run, and may send it elsewhere.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -155,6 +155,8 @@
 	stopping atomic.Bool
 	// refusing is set after the leave notice, when new requests are refused.
 	refusing atomic.Bool
+	// drainEnd is the uptime in nanoseconds at which drainExpired is cancelled; 0 before a stop.
+	drainEnd atomic.Int64
 	// cutRequests is the number of requests that the drain left unanswered.
 	cutRequests int64
 	// drainExpired is cancelled by expireDrain when the requests still in
@@ -239,6 +241,7 @@
 		RunQuery:      e.platform.RunQuery,
 		Stopping:      e.stopping.Load,
 		Refusing:      e.refusing.Load,
+		DrainEnd:      func() time.Duration { return time.Duration(e.drainEnd.Load()) },
 		DrainExpired:  e.drainExpired,
 		Processes:     e.members.processCount,
 		Retries:       relay.NewRetryBudgets(e.settings.RetryRatio, e.settings.RetryBurst),
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -86,13 +86,15 @@
 // their targets.
 func (e *Entry) drain(callers *callerserver.Server, ready, metrics *callerserver.Server) error {
 	startedAt := time.Now()
+	drainTime := e.settings.StopGrace - drainMargin(e.settings.StopGrace)
+	e.drainEnd.Store(int64(e.uptime() + drainTime))
 	e.stopping.Store(true)
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
 	e.lease.release()
 	e.balancer.Limits().Leave(e.uptime())
 	clock.Sleep(context.Background(), e.settings.LeaveNotice)
 	e.refusing.Store(true)
-	drainDeadline := startedAt.Add(e.settings.StopGrace - drainMargin(e.settings.StopGrace))
+	drainDeadline := startedAt.Add(drainTime)
 	expireTimer := time.AfterFunc(time.Until(drainDeadline), e.expireDrain)
 	defer expireTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalTimeout(e.settings.StopGrace)))
--- a/pkg/relay/dispatch.go
+++ b/pkg/relay/dispatch.go
@@ -162,6 +162,10 @@
 	if q.callerConnClosed() {
 		q.handleDisconnect(&attempt{})
 	}
+	if q.isTooLate() {
+		q.refuse(*stoppingRefusal())
+		return
+	}
 	choice, refusal := q.chooseWithCapacity(d.ctx, d.excluded, d.allowed)
 	for refusal != nil && !refusal.permanent && d.mayChooseLater() && q.waitForTarget(d.ctx) {
 		// A target that failed before may continue the stream now.
--- a/pkg/relay/overload.go
+++ b/pkg/relay/overload.go
@@ -306,10 +306,6 @@
 	return relay.Refusing() || relay.DrainExpired.Err() != nil
 }
 
-func stoppingRefusal() *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: notRunRetryAfter}
-}
-
 // refusal logs why a request is refused and returns the refusal.
 func (c *capacityQueue) refusal(r *waitingRequest, shed *loadshed.Refusal, waited time.Duration) *refusal {
 	c.meters.countRefusal(r.ticket.Priority, shed.Reason)
--- a/pkg/relay/refuse.go
+++ b/pkg/relay/refuse.go
@@ -108,6 +108,17 @@
 	return "deadline"
 }
 
+// isTooLate reports whether a request that has not run may not be sent to a target any more: it was
+// still incomplete when requests began to be refused, and the process may end before its answer.
+func (q *request) isTooLate() bool {
+	return q.relay.Refusing() && !q.mayHaveRun && !q.wroteHeader && q.deadline+deadlineGrace > q.relay.DrainEnd()
+}
+
+// stoppingRefusal refuses a request because the process stops.
+func stoppingRefusal() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: notRunRetryAfter}
+}
+
 func (q *request) notRunRefusal(reason string) refusal {
 	return refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: notRunRetryAfter}
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -86,6 +86,9 @@
 	// Refusing reports whether new requests are refused because the process is about
 	// to exit: their responses might be cut.
 	Refusing func() bool
+	// DrainEnd returns the time at which DrainExpired is cancelled during a planned stop; 0
+	// before one. It may be nil.
+	DrainEnd func() time.Duration
 	// DrainExpired is cancelled during a planned stop, when the requests in
 	// progress must get their final response before the process exits.
 	DrainExpired context.Context
@@ -113,6 +116,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = noQuarantine{}
 	}
+	if config.DrainEnd == nil {
+		config.DrainEnd = func() time.Duration { return 0 }
+	}
 	if config.OnEnded == nil {
 		config.OnEnded = func(fleet.Boot) {}
 	}
@@ -226,7 +232,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "not_ready", retryAfter: notReadyRetryAfter}
 	}
 	if q.relay.Refusing() {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: notRunRetryAfter}
+		return stoppingRefusal()
 	}
 	if q.meta.ID == "" {
 		return &refusal{status: http.StatusBadRequest, reason: "no_request_id"}
