A target that closes before the request has arrived has not answered it whole

Cause: a target that closes when it has read all that has arrived so far sends a plain end. The rest of the request, already in the kernel's hands, is answered with a reset after it, which nobody reads.

Change: at the end of a response without a length, the reader asks the kernel how many bytes of the request the peer has not acknowledged, and waits for them within the same 250 ms. Where the kernel doesn't tell, nothing changes.

--- a/pkg/oncehttp/conn.go
+++ b/pkg/oncehttp/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/juju/errors"
 )
@@ -20,6 +21,15 @@
 	sealed bool
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *sealableConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.NotSupportedf("system calls on %T", c.Conn)
+	}
+	return conn.SyscallConn()
+}
+
 // Write implements net.Conn. It fails if the connection is sealed.
 func (c *sealableConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
--- a/pkg/sockstate/sockstate.go
+++ b/pkg/sockstate/sockstate.go
@@ -1,5 +1,6 @@
 // Package sockstate determines, without blocking, whether a connection's peer has
-// sent data or closed the connection. It consumes no bytes from the connection.
+// sent data, received data or closed the connection. It consumes no bytes from the
+// connection.
 package sockstate
 
 import (
@@ -7,6 +8,7 @@
 	"syscall"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // State is the read state of a connection.
@@ -42,6 +44,22 @@
 	return state
 }
 
+// Unacknowledged returns the number of bytes written to a connection whose receipt the peer has not
+// acknowledged. It reports false if that is not known.
+func Unacknowledged(conn net.Conn) (bytes int, known bool) {
+	sysConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sysConn.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { bytes, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return bytes, err == nil && ioctlErr == nil
+}
+
 func peek(fd int) State {
 	var buf [1]byte
 	n, _, err := syscall.Recvfrom(fd, buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
--- a/pkg/strictresponse/body.go
+++ b/pkg/strictresponse/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 
@@ -13,6 +14,7 @@
 type body struct {
 	io.ReadCloser
 	resp *http.Response
+	conn net.Conn
 	// upload is the write of the request; nil if it had ended before the response was read.
 	upload *Upload
 	// err is the result of the last read; nil before it.
@@ -20,9 +22,9 @@
 }
 
 // checkBody makes the body of a response fail at its end if the response is broken.
-func checkBody(resp *http.Response, upload *Upload) {
+func checkBody(resp *http.Response, conn net.Conn, upload *Upload) {
 	if resp.Body != http.NoBody {
-		resp.Body = &body{ReadCloser: resp.Body, resp: resp, upload: upload}
+		resp.Body = &body{ReadCloser: resp.Body, resp: resp, conn: conn, upload: upload}
 	}
 }
 
@@ -68,10 +70,11 @@
 			}
 		}
 	}
-	if b.upload != nil && !HasFraming(b.resp) {
-		if err := b.upload.awaitEnd(); err != nil {
-			return errors.WithType(errors.Annotate(err, string(ErrCutOff)), ErrCutOff)
-		}
+	if HasFraming(b.resp) {
+		return io.EOF
+	}
+	if err := checkRequestEnd(b.conn, b.upload); err != nil {
+		return errors.WithType(errors.Annotate(err, string(ErrCutOff)), ErrCutOff)
 	}
 	return io.EOF
 }
--- a/pkg/strictresponse/conn.go
+++ b/pkg/strictresponse/conn.go
@@ -55,7 +55,7 @@
 			return nil, errors.Trace(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			checkBody(resp, req.Upload)
+			checkBody(resp, c.Conn, req.Upload)
 			return resp, nil
 		}
 	}
--- a/pkg/strictresponse/transport.go
+++ b/pkg/strictresponse/transport.go
@@ -30,24 +30,32 @@
 	return &Transport{base: base}
 }
 
+// sending is one transmission of a request.
+type sending struct {
+	conn   net.Conn
+	upload *Upload
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	// The transport may send a request again that a kept connection has lost.
-	var upload atomic.Pointer[Upload]
+	var latest atomic.Pointer[sending]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*Conn); ok {
-				conn.beginResponse(nil)
+			conn, ok := info.Conn.(*Conn)
+			if !ok {
+				panic("strictresponse: connection was not dialed by this transport")
 			}
-			upload.Store(NewUpload())
+			conn.beginResponse(nil)
+			latest.Store(&sending{conn: conn.Conn, upload: NewUpload()})
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { upload.Load().End(info.Err) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { latest.Load().upload.End(info.Err) },
 	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	checkBody(resp, upload.Load())
+	checkBody(resp, latest.Load().conn, latest.Load().upload)
 	return resp, nil
 }
 
--- a/pkg/strictresponse/upload.go
+++ b/pkg/strictresponse/upload.go
@@ -1,15 +1,22 @@
 package strictresponse
 
 import (
+	"net"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/sockstate"
 )
 
-// uploadEndTimeout is the time for which the end of a response waits for the end of its request. A write
-// to a connection that was reset ends at once.
-const uploadEndTimeout = 250 * time.Millisecond
+const (
+	// uploadEndTimeout is the time for which the end of a response waits for the end of its request. A write
+	// to a connection that was reset ends at once.
+	uploadEndTimeout = 250 * time.Millisecond
+	// uploadPollInterval is the interval at which it asks whether the peer has received the request.
+	uploadPollInterval = time.Millisecond
+)
 
 // Upload is the write of a request, which may go on while the response is read. The kernel reports a
 // reset once, to whoever uses the connection next: if that is the writer, the reader sees a plain end.
@@ -40,14 +47,43 @@
 	}
 }
 
-// awaitEnd waits until the write has ended, and returns an error if it has failed or doesn't end.
-func (u *Upload) awaitEnd() error {
-	timeout := time.NewTimer(uploadEndTimeout)
-	defer timeout.Stop()
+// awaitEnd waits until the write has ended, and returns an error if it has failed or doesn't end before
+// the timeout fires.
+func (u *Upload) awaitEnd(timeout <-chan time.Time) error {
+	if u == nil {
+		return nil
+	}
 	select {
 	case <-u.ended:
 		return u.err
-	case <-timeout.C:
+	case <-timeout:
 		return errors.New("the request has not been written completely")
 	}
 }
+
+// awaitReceipt waits until the peer of a connection has received all of a request, and returns an error if it
+// doesn't before the timeout fires. A peer that closes a connection before all has arrived doesn't
+// acknowledge the rest, and its kernel answers it with a reset after the end of the response.
+func awaitReceipt(conn net.Conn, timeout <-chan time.Time) error {
+	for {
+		bytes, known := sockstate.Unacknowledged(conn)
+		if !known || bytes == 0 {
+			return nil
+		}
+		select {
+		case <-time.After(uploadPollInterval):
+		case <-timeout:
+			return errors.Errorf("%d bytes of the request have not been received", bytes)
+		}
+	}
+}
+
+// checkRequestEnd returns an error unless the peer of a connection has received all of a request.
+func checkRequestEnd(conn net.Conn, upload *Upload) error {
+	timer := time.NewTimer(uploadEndTimeout)
+	defer timer.Stop()
+	if err := upload.awaitEnd(timer.C); err != nil {
+		return err
+	}
+	return awaitReceipt(conn, timer.C)
+}
