--- a/pkg/fake/endlessfake/endlessfake.go
+++ b/pkg/fake/endlessfake/endlessfake.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/fake/rawfake"
 )
 
 const (
@@ -93,51 +95,15 @@
 	return total, errors.Trace(err)
 }
 
-// Server is a target that responds to each request with a Response until its peer
-// closes the connection.
-type Server struct {
-	listener net.Listener
-	wg       sync.WaitGroup
-}
-
-// NewServer starts a Server on the loopback interface.
-func NewServer(response Response) (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.Annotate(err, "listening on the loopback interface")
-	}
-	s := &Server{listener: listener}
-	s.wg.Go(func() { s.accept(response) })
-	return s, nil
-}
-
-// Address returns the server's host:port.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// Close stops the server and waits until all peers have closed their connections.
-func (s *Server) Close() {
-	_ = s.listener.Close()
-	s.wg.Wait()
-}
-
-func (s *Server) accept(response Response) {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
+// NewServer starts a target on the loopback interface that responds to each request with a Response until its
+// peer closes the connection.
+func NewServer(response Response) (*rawfake.Server, error) {
+	return rawfake.NewConnServer(func(conn net.Conn) {
+		// The first bytes of the request are discarded. The write ends with an error once the peer has closed.
+		if _, err := conn.Read(make([]byte, requestBufferBytes)); err == nil {
+			_, _ = response.WriteTo(conn)
 		}
-		s.wg.Go(func() { serveConn(conn, response) })
-	}
-}
-
-// serveConn discards the first bytes of the request and writes the response.
-func serveConn(conn net.Conn, response Response) {
-	defer func() { _ = conn.Close() }()
-	if _, err := conn.Read(make([]byte, requestBufferBytes)); err != nil {
-		return
-	}
-	// The write ends with an error once the peer has closed.
-	_, _ = response.WriteTo(conn)
+	})
 }
 
 // Fields formats header lines from names and values that alternate.
--- a/pkg/fake/rawfake/rawfake.go
+++ b/pkg/fake/rawfake/rawfake.go
@@ -48,7 +48,7 @@
 	_ = conn.Close()
 }
 
-// Server is a server that gives each request the same response.
+// Server is a server on a loopback address that handles connections itself.
 type Server struct {
 	listener net.Listener
 	wg       sync.WaitGroup
@@ -57,14 +57,21 @@
 	conns []net.Conn
 }
 
-// NewServer starts a Server on the loopback interface.
+// NewServer starts a Server that gives the first request on each connection the same response, and ends the
+// connection.
 func NewServer(response Response) (*Server, error) {
+	return NewConnServer(func(conn net.Conn) { serveConn(conn, response) })
+}
+
+// NewConnServer starts a Server that calls serve with each connection, and closes the connection when serve
+// returns.
+func NewConnServer(serve func(conn net.Conn)) (*Server, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Annotate(err, "listening on the loopback interface")
 	}
 	s := &Server{listener: listener}
-	s.wg.Go(func() { s.accept(response) })
+	s.wg.Go(func() { s.accept(serve) })
 	return s, nil
 }
 
@@ -82,7 +89,7 @@
 	s.wg.Wait()
 }
 
-func (s *Server) accept(response Response) {
+func (s *Server) accept(serve func(conn net.Conn)) {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -91,12 +98,14 @@
 		s.mu.Lock()
 		s.conns = append(s.conns, conn)
 		s.mu.Unlock()
-		s.wg.Go(func() { serveConn(conn, response) })
+		s.wg.Go(func() {
+			defer func() { _ = conn.Close() }()
+			serve(conn)
+		})
 	}
 }
 
 func serveConn(conn net.Conn, response Response) {
-	defer func() { _ = conn.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
