The receipt of a request is asked for while its connection is open

Found by reading: net/http's client closes a connection at its end, before the body's reader sees the end, so that for readers with that client the kernel could no longer tell what the peer had received. Conn asks when it reads the end.

--- a/pkg/strictresponse/body.go
+++ b/pkg/strictresponse/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 
@@ -14,7 +13,7 @@
 type body struct {
 	io.ReadCloser
 	resp *http.Response
-	conn net.Conn
+	conn *Conn
 	// upload is the write of the request; nil if it had ended before the response was read.
 	upload *Upload
 	// err is the result of the last read; nil before it.
@@ -22,7 +21,7 @@
 }
 
 // checkBody makes the body of a response fail at its end if the response is broken.
-func checkBody(resp *http.Response, conn net.Conn, upload *Upload) {
+func checkBody(resp *http.Response, conn *Conn, upload *Upload) {
 	if resp.Body != http.NoBody {
 		resp.Body = &body{ReadCloser: resp.Body, resp: resp, conn: conn, upload: upload}
 	}
@@ -73,7 +72,11 @@
 	if HasFraming(b.resp) {
 		return io.EOF
 	}
-	if err := checkRequestEnd(b.conn, b.upload); err != nil {
+	err := b.upload.awaitEnd()
+	if err == nil {
+		err = b.conn.checkReceipt()
+	}
+	if err != nil {
 		return errors.WithType(errors.Annotate(err, string(ErrCutOff)), ErrCutOff)
 	}
 	return io.EOF
@@ -86,7 +89,7 @@
 		return invalidf("field name %.40q", name)
 	}
 	if !httpguts.ValidHeaderFieldValue(value) {
-		return invalidf("value %.40q of field %s", value, name)
+		return invalidf("value %.40q of field %.40s", value, name)
 	}
 	return nil
 }
--- a/pkg/strictresponse/conn.go
+++ b/pkg/strictresponse/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +21,8 @@
 	head   head
 	// err is the first error of a check, after which nothing is read any more.
 	err error
+	// receiptErr is set if the peer has ended the connection and had not received all of the request.
+	receiptErr error
 }
 
 // NewConn returns a Conn on a connection that has not been read from.
@@ -55,18 +58,32 @@
 			return nil, errors.Trace(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			checkBody(resp, c.Conn, req.Upload)
+			checkBody(resp, c, req.Upload)
 			return resp, nil
 		}
 	}
 }
 
+// checkReceipt returns an error if the peer has ended the connection and had not received all of the
+// request.
+func (c *Conn) checkReceipt() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.receiptErr
+}
+
 // Read implements net.Conn. It returns an error instead of the bytes with which a head
 // becomes invalid or too large.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	var receiptErr error
+	if errors.Is(err, io.EOF) {
+		// Whoever reads the end may close the connection, after which the kernel doesn't tell.
+		receiptErr = awaitReceipt(c.Conn)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.receiptErr = receiptErr
 	if c.err == nil && c.inHead {
 		var ended bool
 		ended, c.err = c.head.check(p[:n])
--- a/pkg/strictresponse/strictresponse.go
+++ b/pkg/strictresponse/strictresponse.go
@@ -2,10 +2,12 @@
 //
 // net/http is lenient about what it reads as a response. Conn checks the heads in the bytes of a
 // connection before net/http parses them, so that each reader of responses, with net/http's client or
-// without it, applies the same rules: those of RFC 9112 for status lines and fields, those of trailers too, no body in
-// an informational response, and one way to tell where a body ends.
-// A body that ends with its connection is complete only if nothing contradicts that. What is optional or obsolete but defined there is accepted: no reason, LF
-// alone at the end of a line, folded fields, and any byte above 0x7f in a value.
+// without it, applies the same rules, those of RFC 9112: valid status lines and fields, also in trailers, no
+// body in an informational response, and one way to tell where a body ends. A body that ends with its
+// connection is complete only if nothing contradicts that.
+//
+// What is optional or obsolete but defined there is accepted: no reason, LF alone at the end of a line,
+// folded fields, and any byte above 0x7f in a value.
 package strictresponse
 
 import (
--- a/pkg/strictresponse/transport.go
+++ b/pkg/strictresponse/transport.go
@@ -13,8 +13,8 @@
 	base *http.Transport
 }
 
-// NewTransport returns a Transport that sends its requests with base, which it takes over. If base
-// dials with net.Dialer.DialContext, connections are closed as that of base are.
+// NewTransport returns a Transport that sends its requests with base. The caller must not use base any
+// more.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -32,7 +32,7 @@
 
 // sending is one transmission of a request.
 type sending struct {
-	conn   net.Conn
+	conn   *Conn
 	upload *Upload
 }
 
@@ -47,7 +47,7 @@
 				panic("strictresponse: connection was not dialed by this transport")
 			}
 			conn.beginResponse(nil)
-			latest.Store(&sending{conn: conn.Conn, upload: NewUpload()})
+			latest.Store(&sending{conn: conn, upload: NewUpload()})
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) { latest.Load().upload.End(info.Err) },
 	}
@@ -55,7 +55,8 @@
 	if err != nil {
 		return nil, err
 	}
-	checkBody(resp, latest.Load().conn, latest.Load().upload)
+	sent := latest.Load()
+	checkBody(resp, sent.conn, sent.upload)
 	return resp, nil
 }
 
--- a/pkg/strictresponse/upload.go
+++ b/pkg/strictresponse/upload.go
@@ -47,43 +47,33 @@
 	}
 }
 
-// awaitEnd waits until the write has ended, and returns an error if it has failed or doesn't end before
-// the timeout fires.
-func (u *Upload) awaitEnd(timeout <-chan time.Time) error {
+// awaitEnd waits until the write has ended, and returns an error if it has failed or doesn't end within
+// uploadEndTimeout. A nil Upload has ended.
+func (u *Upload) awaitEnd() error {
 	if u == nil {
 		return nil
 	}
+	timeout := time.NewTimer(uploadEndTimeout)
+	defer timeout.Stop()
 	select {
 	case <-u.ended:
 		return u.err
-	case <-timeout:
+	case <-timeout.C:
 		return errors.New("the request has not been written completely")
 	}
 }
 
-// awaitReceipt waits until the peer of a connection has received all of a request, and returns an error if it
-// doesn't before the timeout fires. A peer that closes a connection before all has arrived doesn't
-// acknowledge the rest, and its kernel answers it with a reset after the end of the response.
-func awaitReceipt(conn net.Conn, timeout <-chan time.Time) error {
-	for {
+// awaitReceipt waits until the peer of a connection has received all that was sent, and returns an error if it
+// doesn't within uploadEndTimeout. A peer that closes a connection before all has arrived doesn't acknowledge
+// the rest, and its kernel answers it with a reset after the end of the response.
+func awaitReceipt(conn net.Conn) error {
+	for deadline := time.Now().Add(uploadEndTimeout); ; time.Sleep(uploadPollInterval) {
 		bytes, known := sockstate.Unacknowledged(conn)
 		if !known || bytes == 0 {
 			return nil
 		}
-		select {
-		case <-time.After(uploadPollInterval):
-		case <-timeout:
+		if time.Now().After(deadline) {
 			return errors.Errorf("%d bytes of the request have not been received", bytes)
 		}
 	}
 }
-
-// checkRequestEnd returns an error unless the peer of a connection has received all of a request.
-func checkRequestEnd(conn net.Conn, upload *Upload) error {
-	timer := time.NewTimer(uploadEndTimeout)
-	defer timer.Stop()
-	if err := upload.awaitEnd(timer.C); err != nil {
-		return err
-	}
-	return awaitReceipt(conn, timer.C)
-}
