--- /dev/null
+++ b/review/_standin3/main.go
@@ -0,0 +1,21 @@
+// Command standin3 plays the cases of review 3: the store of the platform, engines, clients and the
+// entry processes of a small deployment on loopback addresses.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if len(os.Args) == 3 && os.Args[1] == "engine" {
+		runEngine(os.Args[2])
+		return
+	}
+	cases := map[string]func(*world){"cut-streams": cutStreams, "rolling-restart": rollingRestart, "denied-lookups": deniedLookups, "endless-reports": endlessReports, "refused-cuts": refusedCuts}
+	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin3 CASE")
+		os.Exit(2)
+	}
+	cases[os.Args[1]](newWorld())
+}
