--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -12,7 +12,7 @@
 		runEngine(os.Args[2])
 		return
 	}
-	cases := map[string]func(*world){"cut-streams": cutStreams, "rolling-restart": rollingRestart, "denied-lookups": deniedLookups, "endless-reports": endlessReports, "refused-cuts": refusedCuts}
+	cases := map[string]func(*world){"cut-streams": cutStreams, "rolling-restart": rollingRestart, "denied-lookups": deniedLookups, "endless-reports": endlessReports, "refused-cuts": refusedCuts, "pinned-prefixes": pinnedPrefixes, "stopped-bodies": stoppedBodies}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE")
 		os.Exit(2)
--- a/review/_standin3/world.go
+++ b/review/_standin3/world.go
@@ -206,14 +206,16 @@
 	check(err)
 	e.process = start(e.settings["node"].(string), w.root, append(os.Environ(), "BAOBABHUB_SETTINGS="+e.path), log, filepath.Join(w.root, "target", "baobab-entry"))
 	e.settings["first_start"] = false
-	w.await("entry "+e.name, func() bool {
-		resp, err := http.Get("http://" + e.ready + "/ready")
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == 200
-	})
+	w.await("entry "+e.name, func() bool { return w.isReady(e) })
+}
+
+func (w *world) isReady(e *entry) bool {
+	resp, err := http.Get("http://" + e.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == 200
 }
 
 // config writes a configuration with the routes once, safe, stream and resume of the service s.
@@ -254,8 +256,10 @@
 
 // client sends requests one after the other on one connection.
 type client struct {
-	w      *world
-	front  string
+	w     *world
+	front string
+	// from is the address of the client; empty for any.
+	from   string
 	conn   net.Conn
 	reader *bufio.Reader
 }
@@ -278,7 +282,11 @@
 		}
 	}()
 	if c.conn == nil {
-		if c.conn, a.err = net.DialTimeout("tcp4", c.front, time.Second); a.err != nil {
+		dialer := net.Dialer{Timeout: time.Second}
+		if c.from != "" {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(c.from)}
+		}
+		if c.conn, a.err = dialer.Dial("tcp4", c.front); a.err != nil {
 			return a
 		}
 		c.reader = bufio.NewReader(c.conn)
