--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -12,10 +14,18 @@
 		runEngine(os.Args[2])
 		return
 	}
-	cases := map[string]func(*world){"cut-streams": cutStreams, "rolling-restart": rollingRestart, "denied-lookups": deniedLookups, "endless-reports": endlessReports, "refused-cuts": refusedCuts, "pinned-prefixes": pinnedPrefixes, "stopped-bodies": stoppedBodies}
+	cases := map[string]func(*world){
+		"pinned-prefixes": pinnedPrefixes, "endless-reports": endlessReports, "refused-cuts": refusedCuts,
+		"rolling-restart": rollingRestart, "denied-lookups": deniedLookups,
+	}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin3 CASE")
 		os.Exit(2)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		check(fmt.Errorf("ended by %v", <-signals))
+	}()
 	cases[os.Args[1]](newWorld())
 }
