--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,4 +2,4 @@
 # Needs the build of the deploy file and review/build-3.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/baobab-entry ] && [ -x ../../target/review-standin3 ] || exit 2
-exec timeout -k 1 115 ../../target/review-standin3 refused-cuts
+exec timeout --preserve-status -k 1 115 ../../target/review-standin3 refused-cuts
