--- a/review/_standin3/denied.go
+++ b/review/_standin3/denied.go
@@ -11,7 +11,7 @@
 // deniedLookups: engines of a service crash one after the other and come back, while clients look up a record
 // to which the engines answer with an error. The lookup is proper, and each engine answers it.
 func deniedLookups(w *world) {
-	const engines, clients, crashes = 3, 24, 3
+	const engines, clients, crashes = 4, 24, 3
 	w.config(1, 100, 12000)
 	configs := make([]engineConfig, engines)
 	running := make([]*process, engines)
