A refused connection doesn't end a run: begun streams go on there again

A stream that its engine broke off ended as well, with time left.

Cause: ECONNREFUSED was taken for the end of a run (Directory.MarkEnded), told to all peers, and never taken back while the run was registered; the balancer gives such a run no begun stream.

Evidence: logs of a run on: target_run_ended for the three engines 10 ms after each cut (22:01:11.534, 15.035, 18.526), lookups answered by them from 3 s after that on, and at 22:01:27.325 caller_refused with no_target, tries 0. Ruled out: an unknown origin (other reason), avoidance after failures (lookups went there).

Why this works: what a begun stream needs is certainty about the run that it reaches, and each new connection is asked for its run before anything is sent, so the mark isn't needed where the target can be asked. The directory keeps the evidence about a run with its time, the latest counts: refused (may have ended), another start at the address (has ended), the run's own answer, or four report intervals in a registry that answers (goes on). Where nobody can be asked (services without engines, engines that don't tell their start) a run that may have ended gets no begun stream until one of the last two. Peers hear findings with their age from the process that made them, so that an old refusal doesn't hide a later answer. A begun stream tries such a target 0.25 s after the latest refusal.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -59,6 +59,9 @@
 	// Continues reports that the request goes on with a stream that has begun. It needs a
 	// run of a target that is known to have its software version.
 	Continues bool
+	// AsksRun reports that the target is asked for its run on each new connection before the
+	// request is sent, so that a run that may have ended can be chosen.
+	AsksRun bool
 	// IsBuffered is set if the first byte of the response counts only when all of it has
 	// arrived.
 	IsBuffered bool
--- a/pkg/balance/filter.go
+++ b/pkg/balance/filter.go
@@ -23,6 +23,9 @@
 	// loadingRetryDelay is the retry delay for callers while all targets load
 	// weights.
 	loadingRetryDelay = 300 * time.Millisecond
+	// refusedRetryDelay is the time after a refused connection before the target is asked to go
+	// on with a stream that has begun.
+	refusedRetryDelay = 250 * time.Millisecond
 	// noTargetRetryDelay is the retry delay for callers while no target is
 	// available.
 	noTargetRetryDelay = time.Second
@@ -48,7 +51,7 @@
 // weights, then those whose weights are recent enough. A preference is ignored
 // if no candidate satisfies it.
 func (b *Balancer) filter(now time.Duration, req *Request, targets []fleet.Target) ([]candidate, *Refusal) {
-	serving := b.servingTargets(req, targets)
+	serving := b.servingTargets(now, req, targets)
 	if len(serving) == 0 {
 		return nil, &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetryDelay}
 	}
@@ -107,11 +110,11 @@
 
 // servingTargets returns the targets of the service that the request allows, that serve
 // the model and are not draining.
-func (b *Balancer) servingTargets(req *Request, targets []fleet.Target) []candidate {
+func (b *Balancer) servingTargets(now time.Duration, req *Request, targets []fleet.Target) []candidate {
 	list := make([]candidate, 0, len(targets))
 	for i := range targets {
 		t := &targets[i]
-		if t.Service != req.Service || t.Draining || !req.allows(t) {
+		if t.Service != req.Service || t.Draining || !req.allows(now, t) {
 			continue
 		}
 		s := b.targetState(t.Boot())
@@ -138,13 +141,13 @@
 	return earliest - now
 }
 
-// allows reports whether a target may be chosen, given its software version and the
-// targets that have been tried.
-func (r *Request) allows(target *fleet.Target) bool {
+// allows reports whether a target may be chosen, given its software version, the state of its
+// run and the targets that have been tried.
+func (r *Request) allows(now time.Duration, target *fleet.Target) bool {
 	if r.SoftwareVersions != nil && !r.SoftwareVersions[target.SoftwareVersion] {
 		return false
 	}
-	if r.Continues && target.Ended {
+	if r.Continues && !r.mayContinueAt(now, target) {
 		return false
 	}
 	if r.Allowed != nil {
@@ -153,6 +156,19 @@
 	return !r.Excluded[target.ID]
 }
 
+// mayContinueAt reports whether a stream that has begun may go on at a target. A run that may have
+// ended has to be asked for itself, and streams that wait for it don't connect all the time.
+func (r *Request) mayContinueAt(now time.Duration, target *fleet.Target) bool {
+	switch {
+	case target.Ended:
+		return false
+	case target.MayHaveEnded:
+		return r.AsksRun && now-target.RefusedAt >= refusedRetryDelay
+	default:
+		return true
+	}
+}
+
 // selectCandidates returns the candidates that satisfy ok. In the usual case that all do, it
 // copies nothing.
 func selectCandidates(list []candidate, ok func(*candidate) bool) []candidate {
--- a/pkg/balance/primary_test.go
+++ b/pkg/balance/primary_test.go
@@ -92,7 +92,7 @@
 	})
 	Convey("A head's homes are a subset of its homes in a larger number", t, func() {
 		b, targets := newBalancer("dc0"), engines(180)
-		candidates := b.servingTargets(&Request{Service: "s", Model: model}, targets)
+		candidates := b.servingTargets(0, &Request{Service: "s", Model: model}, targets)
 		few, many := headHomes("h", candidates, 8), headHomes("h", candidates, 16)
 		So(few, ShouldResemble, many[:8])
 	})
--- a/pkg/entry/canaryruns.go
+++ b/pkg/entry/canaryruns.go
@@ -179,10 +179,10 @@
 	k.runs.broken = waiting
 }
 
-// hasCrashed reports whether a run of a target has ended.
+// hasCrashed reports whether a run of a target has ended, or may have.
 func (k *canaryKeeper) hasCrashed(boot fleet.Boot) bool {
 	target, listed := k.entry.directory.Get(boot.ID)
-	return !listed || target.Boot() != boot || k.entry.directory.HasEnded(boot)
+	return !listed || target.Boot() != boot || k.entry.directory.MayHaveEnded(boot)
 }
 
 // prune forgets targets that are no longer listed.
--- a/pkg/entry/crashes.go
+++ b/pkg/entry/crashes.go
@@ -109,13 +109,15 @@
 // conclude applies a result to the responses that wait for it.
 func (d *crashDetector) conclude(result probeResult) {
 	run := result.target.Boot()
+	if result.crashed {
+		d.entry.runEnds.Refused(run)
+	}
 	for i := range d.waiting[run] {
 		d.apply(&d.waiting[run][i], &result)
 	}
 	delete(d.waiting, run)
 	if result.crashed {
 		d.crashed[run] = result
-		d.entry.ended.observe(run)
 	}
 	maps.DeleteFunc(d.crashed, func(_ fleet.Boot, old probeResult) bool { return time.Since(old.at) >= crashResultTTL })
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -132,7 +132,7 @@
 	lease        *leaseManager
 	rollouts     *rolloutManager
 	leaving      *runNews
-	ended        *runNews
+	runEnds      *runEnds
 	unreachable  *unreachableReports
 	drainReports *drainReporter
 	quarantine   *quarantineKeeper
@@ -189,6 +189,7 @@
 		memory:            newMemoryBudgets(&settings),
 	}
 	e.drainExpired, e.expireDrain = context.WithCancel(context.Background())
+	e.directory.SetReportInterval(settings.ReportInterval)
 	e.balancer.SetAdaptive(settings.OverloadControl)
 	e.limiter = tokenrate.New(settings.FirstStart)
 	e.stateSchedule = newStateSchedule()
@@ -197,7 +198,7 @@
 	e.overdueDetector = newOverdueConfigDetector()
 	e.rollouts = newRolloutManager(e)
 	e.leaving = newRunNews(e, e.directory.MarkLeaving, eventlog.TargetLeaving)
-	e.ended = newRunNews(e, e.markEnded, eventlog.TargetRunEnded)
+	e.runEnds = newRunEnds(e)
 	e.unreachable = newUnreachableReports()
 	e.drainReports = newDrainReporter(e)
 	e.quarantine = newQuarantineKeeper(e)
@@ -234,7 +235,7 @@
 		CurrentConfig: e.config.Load,
 		Targets:       func() []fleet.Target { return e.directory.Targets(e.uptime()) },
 		OnLeaving:     e.leaving.observe,
-		OnEnded:       e.ended.observe,
+		TargetRuns:    e.runEnds,
 		OnLimit:       e.recordLimit,
 		Quarantine:    e.quarantine,
 		StreamOrigins: e.streamOrigins,
@@ -255,14 +256,10 @@
 	return relay.New(config)
 }
 
-// markEnded records that a run of a target has ended, and reports whether that was not known.
-func (e *Entry) markEnded(now time.Duration, run fleet.Boot) bool {
-	if !e.directory.MarkEnded(now, run) {
-		return false
-	}
+// handleSuspectedEnd applies that a run of a target may have ended.
+func (e *Entry) handleSuspectedEnd(run fleet.Boot) {
 	e.quarantine.unframed.drop(run)
-	e.canary.recordEnded(now, run)
-	return true
+	e.canary.recordEnded(e.uptime(), run)
 }
 
 // newBootID returns an identifier for this run of the process.
@@ -340,6 +337,7 @@
 		targets := e.directory.Targets(e.uptime())
 		e.balancer.Prune(targets)
 		e.pruneLimits(targets)
+		e.runEnds.confirmRegistered()
 		e.directory.Prune(e.uptime())
 		e.software.observeTargets()
 		e.members.markSilentPeers()
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -61,7 +61,7 @@
 // news returns what every process should know, without the engines' updates and with at most
 // the given number of announced weights versions of each model.
 func (e *Entry) news(now time.Duration, announcedVersions int) gossip.News {
-	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), Ended: e.ended.recent(now), Suspects: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now), Rollouts: e.canary.news(now)}
+	news := gossip.News{StoreEra: e.platform.Eras.Current(), Leaving: e.leaving.recent(now), RunFindings: e.runEnds.recent(now), Suspects: e.quarantine.table.News(time.Now()), Limits: e.balancer.Limits().Newest(now), Rollouts: e.canary.news(now)}
 	e.balancer.AnnouncementAges(now, announcedVersions, func(model string, version int64, age time.Duration) {
 		news.AnnouncedVersions = append(news.AnnouncedVersions, gossip.AnnouncedVersion{Model: model, Version: version, Age: age})
 	})
@@ -196,15 +196,13 @@
 		e.log.Log(eventlog.ConfigOverdue, "peer", sender, "version", news.ConfigVersion, "in_force", config.Version)
 	}
 	e.balancer.AvoidUnreachable(now, news.Unreachable)
+	e.runEnds.learn(now, news.RunFindings, sender)
 	e.quarantine.merge(news.Suspects, sender)
 	e.mergeLimits(now, news.Limits, sender)
 	e.canary.learn(now, sender, news.Rollouts)
 	for _, boot := range news.Leaving {
 		e.leaving.learn(now, boot, sender)
 	}
-	for _, boot := range news.Ended {
-		e.ended.learn(now, boot, sender)
-	}
 	for _, a := range news.AnnouncedVersions {
 		e.announceVersion(now-a.Age, a.Model, a.Version, sender)
 	}
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -116,7 +116,7 @@
 
 // CompletedUnframed implements relay.Quarantine.
 func (k *quarantineKeeper) CompletedUnframed(target fleet.Target, request quarantine.Request) {
-	if !k.entry.directory.HasEnded(target.Boot()) {
+	if !k.entry.directory.MayHaveEnded(target.Boot()) {
 		k.unframed.add(k.entry.uptime(), target.Boot(), request)
 	}
 }
--- a/pkg/entry/runnews.go
+++ b/pkg/entry/runnews.go
@@ -18,7 +18,7 @@
 )
 
 // runNews holds runs of targets of which this process or a peer has learned something before
-// the registry reports it: that they are leaving, or that they have ended.
+// the registry reports it: that they are leaving.
 type runNews struct {
 	entry *Entry
 	// mark records the news in the directory, and reports whether it was not known.
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
 // Settings holds the settings of an entry process.
@@ -57,6 +59,8 @@
 	// DrainBound is the time after a target has reported that it is draining
 	// within which requests may still be sent to it.
 	DrainBound time.Duration
+	// ReportInterval is the interval at which targets report to the registry; 0 means the default.
+	ReportInterval time.Duration
 	// RetryRatio is the number of retries that the retry budget gains with each
 	// request. RetryBurst is the number of retries, over the whole fleet, that
 	// are allowed in addition.
@@ -109,6 +113,9 @@
 	if s.DrainBound <= 0 {
 		s.DrainBound = defaultDrainBound
 	}
+	if s.ReportInterval <= 0 {
+		s.ReportInterval = fleet.DefaultReportInterval
+	}
 	var problems []string
 	require := func(ok bool, problem string) {
 		if !ok {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -88,8 +88,12 @@
 		[]string{"service", "streams", "witnesses"}}
 	TrialTaken = Event{953, "trial_taken", "A quarantined request may be sent to a target, to see whether the suspicion was right. It has one run.",
 		[]string{"request_id", "fingerprint", "part"}}
-	TargetRunEnded = Event{956, "target_run_ended", "Nobody listens at the address of a target, so that its run has ended. Streams that have begun don't go on there before the registry names a new run. The source is self or a peer.",
-		[]string{"target", "born", "source"}}
+	TargetRunEnded = Event{956, "target_run_ended", "Another, later run was found at the address of a target, so that the run that the registry names has ended. Streams that have begun don't go on there before the registry names the new run. The source is self or a peer.",
+		[]string{"target", "born", "source", "age_ms"}}
+	TargetRefused = Event{968, "target_refused", "The address of a target refused a connection, so that its run may have ended. Streams that have begun go on there only over a connection on which the run itself answers. The source is self or a peer, and age_ms the time since the refusal.",
+		[]string{"target", "born", "source", "age_ms"}}
+	TargetRunConfirmed = Event{969, "target_run_confirmed", "The run of a target that refused a connection before, or that seemed to have ended, is running. The source is self or a peer, to which the run answered, or registry, to which it has reported since.",
+		[]string{"target", "born", "source", "age_ms"}}
 	ConnNotReset = Event{957, "conn_not_reset", "The connection of an incomplete response that ends with its connection could not be set up to be reset, so that its caller may take the response for complete.",
 		[]string{"request_id", "err"}}
 	RolloutOrdered = Event{958, "rollout_ordered", "The operators ordered to move a service to another software version. The source is store or a peer.",
@@ -124,4 +128,5 @@
 	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
 	RolloutOrdered, RolloutChanged, RolloutProgress, RolloutRecorded,
 	OverloadRefused, OverloadAdmitted, CallerConnsLimited, HedgeDecided, HedgeEnded,
+	TargetRefused, TargetRunConfirmed,
 }
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -29,8 +29,12 @@
 	entries map[string]*entry
 	// departed holds the runs that have begun to leave or have been removed.
 	departed map[Boot]departure
-	// ended holds the registered runs that have been found to have ended.
-	ended map[Boot]bool
+	// evidence holds what is known of the ends of registered runs.
+	evidence map[Boot]*runEvidence
+	// reportInterval is the interval at which targets report to the registry, and
+	// registryAnsweredAt the time of the registry's latest answer.
+	reportInterval     time.Duration
+	registryAnsweredAt time.Duration
 	// registryRestoredAt is the time at which the latest outage of the
 	// registry ended.
 	registryRestoredAt  time.Duration
@@ -60,8 +64,8 @@
 // NewDirectory returns an empty Directory.
 func NewDirectory() *Directory {
 	return &Directory{
-		entries: map[string]*entry{}, departed: map[Boot]departure{}, ended: map[Boot]bool{},
-		registryRestoredAt: -RegistryRecoveryGrace,
+		entries: map[string]*entry{}, departed: map[Boot]departure{}, evidence: map[Boot]*runEvidence{},
+		reportInterval: DefaultReportInterval, registryRestoredAt: -RegistryRecoveryGrace,
 	}
 }
 
@@ -73,6 +77,9 @@
 		d.registryRestoredAt = now
 	}
 	d.registryUnavailable = unavailable
+	if !unavailable {
+		d.registryAnsweredAt = now
+	}
 }
 
 // IsRegistryAvailable reports whether the registry has answered the latest call.
@@ -104,7 +111,7 @@
 	}
 	left, ok := d.departed[boot]
 	target.Draining = ok && left.draining
-	target.Ended = d.ended[boot]
+	d.applyEvidence(&target)
 	if ok && !left.draining {
 		delete(d.departed, boot)
 	}
@@ -128,28 +135,6 @@
 	return true
 }
 
-// MarkEnded records that a registered run of a target has been found to have ended. It reports
-// whether that was not known.
-func (d *Directory) MarkEnded(_ time.Duration, boot Boot) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e, ok := d.entries[boot.ID]
-	if !ok || e.target.Boot() != boot || d.ended[boot] {
-		return false
-	}
-	d.ended[boot] = true
-	e.target.Ended = true
-	d.sortedTargets = nil
-	return true
-}
-
-// HasEnded reports whether a run of a target has ended or is not registered.
-func (d *Directory) HasEnded(boot Boot) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.ended[boot] || !d.isListed(boot)
-}
-
 // Remove records the removal of a target's registry entry. Within
 // RegistryRecoveryGrace after an outage, the target is kept until the end of
 // that period; otherwise it is removed immediately.
@@ -230,7 +215,7 @@
 			delete(d.departed, boot)
 		}
 	}
-	maps.DeleteFunc(d.ended, func(boot Boot, _ bool) bool { return !d.isListed(boot) })
+	maps.DeleteFunc(d.evidence, func(boot Boot, _ *runEvidence) bool { return !d.isListed(boot) })
 }
 
 // isListed reports whether a run of a target is registered.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -186,7 +186,7 @@
 			So(d.Targets(time.Second)[0].Ended, ShouldBeFalse)
 			So(d.MarkEnded(time.Second, Boot{ID: "a", StartUnixMS: 1}), ShouldBeFalse)
 			d.Prune(time.Second)
-			So(d.ended, ShouldBeEmpty)
+			So(d.evidence, ShouldBeEmpty)
 		})
 	})
 }
--- a/pkg/fleet/target.go
+++ b/pkg/fleet/target.go
@@ -13,9 +13,15 @@
 	SoftwareVersion string
 	Slots           int
 	Draining        bool
-	// Ended reports that the run has been found to have ended, though its entry is still
-	// registered. Another run, which the registry doesn't name yet, may use the address.
+	// Ended reports that the run has ended, though its entry is still registered: another run,
+	// which the registry doesn't name yet, was found at the address.
 	Ended bool
+	// MayHaveEnded reports that the address has refused a connection since the run was last known
+	// to be running, or that the run has ended.
+	MayHaveEnded bool
+	// RefusedAt is the time of the latest refusal, on the process's monotonic clock, if
+	// MayHaveEnded is set.
+	RefusedAt time.Duration
 	// Models maps the models that the target serves to their weights
 	// versions.
 	Models map[string]int64
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -73,8 +73,9 @@
 	// Leaving holds the runs of targets that have recently announced that they
 	// are leaving.
 	Leaving []fleet.Boot
-	// Ended holds the runs of targets that have recently been found to have ended.
-	Ended []fleet.Boot
+	// RunFindings holds what the process itself has recently found out about the ends of runs of
+	// targets, the latest finding of each.
+	RunFindings []RunFinding
 	// Unreachable holds the runs of targets to which the process has recently
 	// failed to connect, or whose address another target uses now.
 	Unreachable []fleet.Boot
@@ -94,6 +95,14 @@
 	Engines         []EngineStatus
 }
 
+// RunFinding is a process's finding about a run of a target.
+type RunFinding struct {
+	Target  fleet.Boot
+	Finding fleet.RunFinding
+	// Age is the time since the finding.
+	Age time.Duration
+}
+
 // AnnouncedVersion is an announced weights version of a model.
 type AnnouncedVersion struct {
 	Model   string
@@ -137,7 +146,9 @@
 		RecordService: m.RecordService, UsageWithinMs: uint32(m.UsageWithin.Milliseconds()),
 	}
 	state.Leaving = encodeBoots(m.Leaving)
-	state.Ended = encodeBoots(m.Ended)
+	for _, f := range m.RunFindings {
+		state.RunFindings = append(state.RunFindings, &gossippb.RunFinding{Target: encodeBoot(f.Target), Kind: uint32(f.Finding), AgeMs: encodeMilliseconds(f.Age)})
+	}
 	state.Unreachable = encodeBoots(m.Unreachable)
 	state.Suspects = encodeSuspects(m.Suspects)
 	state.Limits = encodeLimits(m.Limits)
@@ -300,7 +311,9 @@
 		TargetLoads: make(map[balance.TargetKey]balance.TargetLoad, len(state.GetWork())),
 	}
 	m.Leaving = decodeBoots(state.GetLeaving())
-	m.Ended = decodeBoots(state.GetEnded())
+	for _, f := range state.GetRunFindings() {
+		m.RunFindings = append(m.RunFindings, RunFinding{Target: decodeBoot(f.GetTarget()), Finding: fleet.RunFinding(f.GetKind()), Age: time.Duration(f.GetAgeMs()) * time.Millisecond})
+	}
 	m.Unreachable = decodeBoots(state.GetUnreachable())
 	m.Suspects = decodeSuspects(state.GetSuspects())
 	m.Limits = decodeLimits(state.GetLimits())
--- a/pkg/relay/choose.go
+++ b/pkg/relay/choose.go
@@ -60,7 +60,7 @@
 }
 
 func (q *request) balanceRequest() *balance.Request {
-	req := &balance.Request{Service: q.service, SoftwareVersions: q.softwareVersions(), Continues: q.streamVersion != nil, IsBuffered: q.route.Kind != fleet.Stream, MaxExpectedTTFB: q.maxExpectedTTFB()}
+	req := &balance.Request{Service: q.service, SoftwareVersions: q.softwareVersions(), Continues: q.streamVersion != nil, AsksRun: q.asksRun(), IsBuffered: q.route.Kind != fleet.Stream, MaxExpectedTTFB: q.maxExpectedTTFB()}
 	service, ok := q.config.Services[q.service]
 	if !ok || !service.HasEngines || q.meta.Model == "" {
 		return req
--- a/pkg/relay/ending.go
+++ b/pkg/relay/ending.go
@@ -10,7 +10,7 @@
 )
 
 // errEndedWithTarget means that a response ended with its connection, and that nobody listens
-// at the target's address any more.
+// at the target's address.
 const errEndedWithTarget = errors.ConstError("response without a length ended with its target")
 
 // checkEnd returns an error if a response that has ended may be incomplete. One whose header
@@ -33,7 +33,7 @@
 		// No connection could be had for another reason, which says nothing about the response.
 		return nil
 	}
-	q.relay.OnEnded(target.Boot())
+	q.relay.TargetRuns.Refused(target.Boot())
 	return errEndedWithTarget
 }
 
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		a.err = err
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			relay.OnEnded(target.Boot())
+			relay.TargetRuns.Refused(target.Boot())
 		}
 		return notSent
 	}
@@ -54,6 +54,9 @@
 	if !a.responseMeta.InstanceMismatch {
 		a.tracked.RecordProgress(a.answeredAt)
 	}
+	if conn.LeadsToRun() {
+		relay.TargetRuns.Running(target.Boot(), a.startedAt)
+	}
 	relay.Quarantine.Answered(target.Boot(), a.startedAt)
 	if a.responseMeta.HasLoad {
 		relay.Balancer.RecordLoad(relay.Now(), target.Boot(), a.responseMeta.Load)
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -63,9 +63,8 @@
 	// OnLeaving is called when a response announces that its target is leaving.
 	// It must not block.
 	OnLeaving func(boot fleet.Boot)
-	// OnEnded is called when a target refuses a connection, so that nobody listens at its
-	// address. It may be nil, and must not block.
-	OnEnded func(boot fleet.Boot)
+	// TargetRuns is told what connections show of the runs of targets. It may be nil.
+	TargetRuns TargetRuns
 	// OnLimit is called with the limit that a response named, if any. sentAt is the time
 	// at which its request was sent. It must not block.
 	OnLimit func(requestID string, boot fleet.Boot, sentAt time.Duration, limit call.TargetLimit)
@@ -119,8 +118,8 @@
 	if config.DrainEnd == nil {
 		config.DrainEnd = func() time.Duration { return 0 }
 	}
-	if config.OnEnded == nil {
-		config.OnEnded = func(fleet.Boot) {}
+	if config.TargetRuns == nil {
+		config.TargetRuns = noTargetRuns{}
 	}
 	relay := &Relay{Config: config, instruments: newInstruments(config.Metrics)}
 	if config.OverloadControl {
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -54,8 +54,8 @@
 	// reader buffers responses, which checks the heads that are read from socket.
 	reader    *bufio.Reader
 	responses *strictresponse.Conn
-	// runChecked is set once the connection is known to lead to the run of the target in its pool.
-	runChecked bool
+	// run is what is known of the run of the target that the connection leads to.
+	run runKnowledge
 	// carried holds the IDs of the latest requests on the connection.
 	carried carriedIDs
 	// idleTimeout is the time after which the target closes the idle connection.
@@ -79,12 +79,34 @@
 // opened earlier.
 func (c *Conn) IsKept() bool { return !c.idleSince.IsZero() }
 
-// RunChecked reports whether the connection is known to lead to the run of the target that it was
-// opened for. Then it does so for good: it ends with the run.
-func (c *Conn) RunChecked() bool { return c.runChecked }
+// runKnowledge is what is known of the run of a target that a connection leads to. It holds for good,
+// since a connection ends with its run.
+type runKnowledge int
 
-// SetRunChecked records that it does.
-func (c *Conn) SetRunChecked() { c.runChecked = true }
+const (
+	// runUnasked means that the target has not been asked over the connection for its run.
+	runUnasked runKnowledge = iota
+	// runUntold means that its answer did not tell.
+	runUntold
+	// runMatches means that it is the run that the connection was opened for.
+	runMatches
+)
+
+// RunAsked reports whether the target has been asked over the connection for its run.
+func (c *Conn) RunAsked() bool { return c.run != runUnasked }
+
+// LeadsToRun reports whether the connection is known to lead to the run of the target that it was
+// opened for.
+func (c *Conn) LeadsToRun() bool { return c.run == runMatches }
+
+// SetRun records that the target has been asked for its run, and whether that is the one that the
+// connection was opened for.
+func (c *Conn) SetRun(matches bool) {
+	c.run = runUntold
+	if matches {
+		c.run = runMatches
+	}
+}
 
 // Ask sends a request and reads its response of at most limit bytes. The connection remains the
 // caller's; on an error it is closed.
