Crashes of runs that answer again are withdrawn; a final refusal needs their ends

Callers saw: a sound request that is under way at living engines while each of them is cut off for a moment by a network that refuses connections is refused with 400 (request_quarantined) for half an hour, although no engine crashed.

Cause: a response that breaks off and a refused connection count as a crash of the run; three are evidence enough for good, and nothing withdrew them when the run answered again.

Change: the process that noticed a crash asks the address for its run, after 0.25 s and less and less often for 30 s. If the run itself answers, or has reported to the registry since, the crash is withdrawn under all suspects, in all processes (facts that only grow: withdrawn, and the number of withdrawals before, so that the same run counts again when it does crash). A process is sure, and answers 400, only of crashes whose runs are known to have ended: by the registry, or by another run at the address. Until then the request is refused with 503 and the time of a trial.

Why this works: targets are protected from the first moment as before, and what can't be told apart at that moment (a crash, a cut) is told apart a moment later by the run itself.

Ruled out: counting crashes only once they are confirmed. The registry takes some four seconds, and requests that do crash engines would go on meanwhile.

--- a/pkg/entry/crashes.go
+++ b/pkg/entry/crashes.go
@@ -9,9 +9,11 @@
 
 	"github.com/juju/errors"
 
+	"github.com/baobabhub/baobabhub/pkg/clock"
 	"github.com/baobabhub/baobabhub/pkg/eventlog"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
+	"github.com/baobabhub/baobabhub/pkg/relay"
 )
 
 const (
@@ -27,6 +29,11 @@
 	// crashResultTTL is the time for which it is remembered that a run of a target has
 	// crashed, for its responses that broke off at the same time.
 	crashResultTTL = 2 * time.Second
+	// minExamineDelay and maxExamineDelay bound the time between two examinations of a run that
+	// seems to have crashed, and examineTime that of all of them.
+	minExamineDelay = 250 * time.Millisecond
+	maxExamineDelay = time.Second
+	examineTime     = 30 * time.Second
 )
 
 // brokenResponse is a response that a target broke off before or soon after its first
@@ -56,16 +63,20 @@
 	entry  *Entry
 	broken chan brokenResponse
 	probes chan probeResult
+	// examined receives the runs whose examination has ended.
+	examined chan fleet.Boot
 	// waiting holds the responses whose targets are being examined, and crashed the
 	// results for runs of targets that have crashed. Only run uses them.
 	waiting map[fleet.Boot][]brokenResponse
 	crashed map[fleet.Boot]probeResult
+	// examining holds the runs that seem to have crashed and are examined again. Only run uses it.
+	examining map[fleet.Boot]bool
 }
 
 func newCrashDetector(entry *Entry) *crashDetector {
 	return &crashDetector{
-		entry: entry, broken: make(chan brokenResponse, maxBrokenResponses), probes: make(chan probeResult),
-		waiting: map[fleet.Boot][]brokenResponse{}, crashed: map[fleet.Boot]probeResult{},
+		entry: entry, broken: make(chan brokenResponse, maxBrokenResponses), probes: make(chan probeResult), examined: make(chan fleet.Boot),
+		waiting: map[fleet.Boot][]brokenResponse{}, crashed: map[fleet.Boot]probeResult{}, examining: map[fleet.Boot]bool{},
 	}
 }
 
@@ -86,7 +97,9 @@
 		case response := <-d.broken:
 			d.examine(ctx, response)
 		case result := <-d.probes:
-			d.conclude(result)
+			d.conclude(ctx, result)
+		case run := <-d.examined:
+			delete(d.examining, run)
 		}
 	}
 }
@@ -95,7 +108,7 @@
 // That a target accepted connections before says nothing of a later response.
 func (d *crashDetector) examine(ctx context.Context, response brokenResponse) {
 	run := response.target.Boot()
-	if result, ok := d.crashed[run]; ok {
+	if result, ok := d.crashed[run]; ok && d.entry.directory.MayHaveEnded(run) {
 		d.apply(&response, &result)
 		return
 	}
@@ -107,7 +120,7 @@
 }
 
 // conclude applies a result to the responses that wait for it.
-func (d *crashDetector) conclude(result probeResult) {
+func (d *crashDetector) conclude(ctx context.Context, result probeResult) {
 	run := result.target.Boot()
 	if result.crashed {
 		d.entry.runEnds.Refused(run)
@@ -118,10 +131,45 @@
 	delete(d.waiting, run)
 	if result.crashed {
 		d.crashed[run] = result
+		d.examineAgain(ctx, result.target)
 	}
 	maps.DeleteFunc(d.crashed, func(_ fleet.Boot, old probeResult) bool { return time.Since(old.at) >= crashResultTTL })
 }
 
+// examineAgain examines a run that seems to have crashed until it is known whether it goes on.
+func (d *crashDetector) examineAgain(ctx context.Context, target fleet.Target) {
+	run := target.Boot()
+	if d.examining[run] {
+		return
+	}
+	d.examining[run] = true
+	go func() {
+		d.awaitRun(ctx, target)
+		select {
+		case d.examined <- run:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// awaitRun asks a target for its run, less and less often, until it has answered or the registry
+// shows that the run has ended.
+func (d *crashDetector) awaitRun(ctx context.Context, target fleet.Target) {
+	directory, run := d.entry.directory, target.Boot()
+	end := time.Now().Add(examineTime)
+	for delay := minExamineDelay; time.Now().Before(end) && clock.Sleep(ctx, delay); delay = min(2*delay, maxExamineDelay) {
+		if directory.HasEnded(run) || !directory.MayHaveEnded(run) {
+			return
+		}
+		askCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		err := d.entry.relay.ExamineRun(askCtx, &target)
+		cancel()
+		if err == nil || errors.Is(err, relay.ErrRunNotTold) {
+			return
+		}
+	}
+}
+
 func (d *crashDetector) apply(response *brokenResponse, result *probeResult) {
 	if !result.crashed {
 		d.logUnexplained(response, result.reason)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -262,6 +262,11 @@
 	e.canary.recordEnded(e.uptime(), run)
 }
 
+// hasRunEnded reports whether a run of a target is known to have ended.
+func (e *Entry) hasRunEnded(run fleet.Boot) bool {
+	return e.ready.targetsListed.Load() && e.directory.HasEnded(run)
+}
+
 // newBootID returns an identifier for this run of the process.
 func newBootID() string {
 	return fmt.Sprintf("%d-%x", os.Getpid(), rand.Uint64())
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -134,6 +134,9 @@
 		OnResult: func(err error) {
 			monitor.record(err)
 			e.directory.SetRegistryUnavailable(e.uptime(), !kv.Answered(err))
+			if err == nil {
+				e.directory.RegistryRead(e.uptime())
+			}
 		},
 	}
 	follower.Run(ctx)
@@ -141,6 +144,7 @@
 
 func (e *Entry) applyTargetUpdate(u kv.Update) {
 	defer e.software.observeTargets()
+	defer e.quarantine.reconsider()
 	if u.Full {
 		e.replaceTargets(u)
 		return
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -65,7 +65,7 @@
 
 func newQuarantineKeeper(entry *Entry) *quarantineKeeper {
 	return &quarantineKeeper{
-		entry: entry, table: quarantine.New(), detector: newCrashDetector(entry), unframed: newUnframedResponses(),
+		entry: entry, table: quarantine.NewUnconfirmed(entry.hasRunEnded), detector: newCrashDetector(entry), unframed: newUnframedResponses(),
 		changed: make(chan struct{}, 1), refusedSuspects: make(chan quarantine.Suspect, 1),
 	}
 }
@@ -105,12 +105,7 @@
 	if len(cleared) == 0 {
 		return
 	}
-	if fingerprint := fingerprintOf(cleared); fingerprint != "" {
-		k.entry.log.Log(eventlog.RequestCleared, "fingerprint", fingerprint)
-	}
-	if parts := partList(cleared); parts != "" {
-		k.entry.log.Log(eventlog.PartsCleared, "parts", parts)
-	}
+	k.logCleared(cleared)
 	k.applyChange(sourceSelf)
 }
 
@@ -151,6 +146,27 @@
 	k.applyChange(sourceSelf)
 }
 
+// recordRunning records that a run of a target is running that seemed to have crashed, and tells all
+// processes.
+func (k *quarantineKeeper) recordRunning(run fleet.Boot) {
+	cleared := k.table.RecordRunning(time.Now(), run)
+	if len(cleared) == 0 {
+		return
+	}
+	k.logCleared(cleared)
+	k.entry.gossip.SendUrgent()
+	k.applyChange(sourceSelf)
+}
+
+func (k *quarantineKeeper) logCleared(cleared []quarantine.Suspect) {
+	if fingerprint := fingerprintOf(cleared); fingerprint != "" {
+		k.entry.log.Log(eventlog.RequestCleared, "fingerprint", fingerprint)
+	}
+	if parts := partList(cleared); parts != "" {
+		k.entry.log.Log(eventlog.PartsCleared, "parts", parts)
+	}
+}
+
 // merge adds what a peer knows.
 func (k *quarantineKeeper) merge(records []quarantine.Record, source string) {
 	if k.table.Merge(time.Now(), records) {
@@ -158,6 +174,12 @@
 	}
 }
 
+// reconsider applies what is known by now of the ends of runs.
+func (k *quarantineKeeper) reconsider() {
+	k.table.Reconsider()
+	k.logTransitions(sourceSelf)
+}
+
 // expire drops what no longer counts.
 func (k *quarantineKeeper) expire() {
 	k.unframed.expire(k.entry.uptime())
--- a/pkg/entry/runends.go
+++ b/pkg/entry/runends.go
@@ -12,6 +12,10 @@
 // sourceRegistry denotes in the log what the registry shows.
 const sourceRegistry = "registry"
 
+// maxMessageDelay is by how much a peer's finding may seem to be later than it is. A run that
+// has answered must not count as running after it has ended.
+const maxMessageDelay = 500 * time.Millisecond
+
 // runEnds keeps in the directory what this process and its peers find out about the ends of runs of
 // targets, and applies the changes. It implements relay.TargetRuns. The peers hear of the latest
 // finding of each run, with its age, from the process that made it only: a finding that is passed
@@ -63,7 +67,11 @@
 // learn applies the findings of a peer.
 func (e *runEnds) learn(now time.Duration, findings []gossip.RunFinding, peer string) {
 	for _, f := range findings {
-		e.apply(f.Target, runFinding{finding: f.Finding, at: now - f.Age}, peer)
+		found := runFinding{finding: f.Finding, at: now - f.Age}
+		if f.Finding == fleet.RunAnswered {
+			found.at -= maxMessageDelay
+		}
+		e.apply(f.Target, found, peer)
 	}
 }
 
@@ -82,11 +90,13 @@
 			return false
 		}
 		e.log(eventlog.TargetRunEnded, boot, found.at, source)
+		e.entry.quarantine.reconsider()
 	case fleet.RunAnswered:
 		if !directory.MarkRunning(found.at, boot) {
 			return false
 		}
 		e.log(eventlog.TargetRunConfirmed, boot, found.at, source)
+		e.entry.quarantine.recordRunning(boot)
 	default:
 		// A newer version of this program may know other findings.
 		return false
@@ -98,6 +108,7 @@
 func (e *runEnds) confirmRegistered() {
 	for _, boot := range e.entry.directory.ConfirmRegistered() {
 		e.log(eventlog.TargetRunConfirmed, boot, e.entry.uptime(), sourceRegistry)
+		e.entry.quarantine.recordRunning(boot)
 	}
 }
 
--- a/pkg/fleet/directory.go
+++ b/pkg/fleet/directory.go
@@ -32,9 +32,9 @@
 	// evidence holds what is known of the ends of registered runs.
 	evidence map[Boot]*runEvidence
 	// reportInterval is the interval at which targets report to the registry, and
-	// registryAnsweredAt the time of the registry's latest answer.
-	reportInterval     time.Duration
-	registryAnsweredAt time.Duration
+	// registryReadAt the time at which the registry was last read.
+	reportInterval time.Duration
+	registryReadAt time.Duration
 	// registryRestoredAt is the time at which the latest outage of the
 	// registry ended.
 	registryRestoredAt  time.Duration
@@ -77,9 +77,13 @@
 		d.registryRestoredAt = now
 	}
 	d.registryUnavailable = unavailable
-	if !unavailable {
-		d.registryAnsweredAt = now
-	}
+}
+
+// RegistryRead records that the registry was read, after all changes in it have been applied.
+func (d *Directory) RegistryRead(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.registryReadAt = now
 }
 
 // IsRegistryAvailable reports whether the registry has answered the latest call.
--- a/pkg/fleet/runs.go
+++ b/pkg/fleet/runs.go
@@ -133,7 +133,7 @@
 
 // ConfirmRegistered records that the runs which refused a connection are running if they have
 // reported to the registry since: the registry would have removed their entries otherwise, and has
-// answered all the time. It returns those runs.
+// been available all the time. It returns those runs.
 func (d *Directory) ConfirmRegistered() []Boot {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -143,7 +143,7 @@
 			continue
 		}
 		since := max(evidence.refusedAt, d.registryRestoredAt)
-		if d.registryUnavailable || d.registryAnsweredAt-since <= maxMissedReports*d.reportInterval {
+		if d.registryUnavailable || d.registryReadAt-since <= maxMissedReports*d.reportInterval {
 			continue
 		}
 		evidence.runningAt = evidence.refusedAt
--- a/pkg/fleet/runs_test.go
+++ b/pkg/fleet/runs_test.go
@@ -16,7 +16,6 @@
 		run := Boot{ID: "a", StartUnixMS: 1}
 		const refusedAt = 10 * time.Second
 		d.Put(0, Target{ID: "a", Service: "s", StartUnixMS: 1})
-		d.SetRegistryUnavailable(refusedAt, false)
 		So(d.MarkRefused(refusedAt, run), ShouldBeTrue)
 		So(d.MarkRefused(refusedAt, run), ShouldBeFalse)
 		listed := func() Target { return d.Targets(refusedAt)[0] }
@@ -47,30 +46,32 @@
 		})
 		Convey("an entry that is still registered after the registry would have removed it shows that it goes on", func() {
 			const lapse = maxMissedReports * DefaultReportInterval
-			d.SetRegistryUnavailable(refusedAt+lapse, false)
+			d.RegistryRead(refusedAt + lapse)
 			So(d.ConfirmRegistered(), ShouldBeEmpty)
-			Convey("if the registry has answered all the time", func() {
-				d.SetRegistryUnavailable(refusedAt+lapse+1, false)
+			Convey("if the registry has been available all the time", func() {
+				d.RegistryRead(refusedAt + lapse + 1)
 				So(d.ConfirmRegistered(), ShouldResemble, []Boot{run})
 				So(listed().MayHaveEnded, ShouldBeFalse)
 			})
 			Convey("not if it was away meanwhile", func() {
 				d.SetRegistryUnavailable(refusedAt+lapse, true)
 				d.SetRegistryUnavailable(refusedAt+lapse+1, false)
+				d.RegistryRead(refusedAt + lapse + 1)
 				So(d.ConfirmRegistered(), ShouldBeEmpty)
 			})
-			Convey("not while it doesn't answer", func() {
+			Convey("not while it is not available", func() {
+				d.RegistryRead(refusedAt + lapse + 1)
 				d.SetRegistryUnavailable(refusedAt+lapse+1, true)
 				So(d.ConfirmRegistered(), ShouldBeEmpty)
 			})
 			Convey("not if it was restored from a copy meanwhile", func() {
 				d.RegistryRestored(refusedAt + lapse)
-				d.SetRegistryUnavailable(refusedAt+lapse+1, false)
+				d.RegistryRead(refusedAt + lapse + 1)
 				So(d.ConfirmRegistered(), ShouldBeEmpty)
 			})
 			Convey("not if the entry has been removed", func() {
 				d.Remove(refusedAt+lapse, "a")
-				d.SetRegistryUnavailable(refusedAt+lapse+1, false)
+				d.RegistryRead(refusedAt + lapse + 1)
 				So(d.ConfirmRegistered(), ShouldBeEmpty)
 				So(d.HasEnded(run), ShouldBeTrue)
 			})
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -263,7 +263,7 @@
 		for _, crash := range records[i].Crashes {
 			suspect.Crashes = append(suspect.Crashes, &gossippb.Crash{
 				Target: encodeBoot(crash.Target), CrashedUnixMs: crash.UnixMS, RunningUnixMs: crash.RunningUnixMS,
-				Coincided: crash.Coincided, Cleared: crash.Cleared,
+				Coincided: crash.Coincided, Cleared: crash.Cleared, Withdrawn: crash.Withdrawn, Occasion: uint32(crash.Occasion),
 			})
 		}
 		suspects = append(suspects, suspect)
@@ -278,7 +278,7 @@
 		for _, crash := range suspect.GetCrashes() {
 			record.Crashes = append(record.Crashes, quarantine.Crash{
 				Target: decodeBoot(crash.GetTarget()), UnixMS: crash.GetCrashedUnixMs(), RunningUnixMS: crash.GetRunningUnixMs(),
-				Coincided: crash.GetCoincided(), Cleared: crash.GetCleared(),
+				Coincided: crash.GetCoincided(), Cleared: crash.GetCleared(), Withdrawn: crash.GetWithdrawn(), Occasion: int(crash.GetOccasion()),
 			})
 		}
 		records = append(records, record)
--- a/pkg/quarantine/independent.go
+++ b/pkg/quarantine/independent.go
@@ -33,11 +33,12 @@
 	c.UnixMS = min(c.UnixMS, other.UnixMS)
 	c.RunningUnixMS = max(c.RunningUnixMS, other.RunningUnixMS)
 	c.Coincided = c.Coincided || other.Coincided
+	c.Withdrawn = c.Withdrawn || other.Withdrawn
 	return *c != before
 }
 
 func compareCrashTimes(a, b *Crash) int {
-	return cmp.Or(cmp.Compare(a.UnixMS, b.UnixMS), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Target.StartUnixMS, b.Target.StartUnixMS))
+	return cmp.Or(cmp.Compare(a.UnixMS, b.UnixMS), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Target.StartUnixMS, b.Target.StartUnixMS), cmp.Compare(a.Occasion, b.Occasion))
 }
 
 // open returns the crashes that are not cleared, the earliest first.
@@ -66,7 +67,7 @@
 	var supported, contradicted series
 	for _, crash := range s.open() {
 		switch {
-		case other != nil && other.isOpen(crash.Target):
+		case other != nil && other.isOpen(crash.end()):
 		case crash.isContradicted:
 			contradicted.add(crash)
 		default:
@@ -90,15 +91,30 @@
 	}
 }
 
-// addRun records the crash of a run, whatever is suspected of it.
-func (t *Table) addRun(crash Crash) {
-	known, ok := t.runs[crash.Target]
+// addRun records the crash of a run, whatever is suspected of it, and returns what is known of it
+// by now.
+func (t *Table) addRun(crash Crash) *Crash {
+	known, ok := t.runs[crash.end()]
 	if !ok {
-		t.runs[crash.Target] = &crash
+		known = &crash
+		t.runs[crash.end()] = known
 		t.limitRuns()
-		return
+		return known
 	}
 	known.observe(&crash)
+	return known
+}
+
+// occasion returns how often a run has turned out to be running after it had seemed to crash.
+func (t *Table) occasion(run fleet.Boot) int {
+	occasion := 0
+	for {
+		known, ok := t.runs[end{run: run, occasion: occasion}]
+		if !ok || !known.Withdrawn {
+			return occasion
+		}
+		occasion++
+	}
 }
 
 // limitRuns drops the oldest runs once there are more than maxRuns.
@@ -112,7 +128,7 @@
 	}
 	slices.SortFunc(runs, compareCrashTimes)
 	for _, crash := range runs[:evictedRuns] {
-		delete(t.runs, crash.Target)
+		delete(t.runs, crash.end())
 	}
 }
 
@@ -131,12 +147,12 @@
 }
 
 func (t *Table) compareMoment(state *suspectState, crash *Crash) {
-	for run, other := range t.runs {
-		if run == crash.Target || !crash.coincides(other) {
+	for id, other := range t.runs {
+		if id.run == crash.Target || other.Withdrawn || !crash.coincides(other) {
 			continue
 		}
 		crash.Coincided = true
-		if !state.mayHave(run) {
+		if !state.mayHave(id) {
 			crash.isContradicted = true
 			return
 		}
@@ -144,22 +160,21 @@
 }
 
 // mayHave reports whether a run crashed under the suspect, as far as that is remembered.
-func (s *suspectState) mayHave(run fleet.Boot) bool {
-	_, ok := s.crashes[run]
+func (s *suspectState) mayHave(crash end) bool {
+	_, ok := s.crashes[crash]
 	return ok || len(s.crashes) >= maxCrashesPerSuspect
 }
 
 // isSure reports whether neither a common cause of several crashes nor one of the other suspects explains
-// the crashes of a suspect: they were each alone, or a trial has failed. Where the suspect has
+// the given crashes of a suspect, which were each alone, or whether a trial has failed. Where the suspect has
 // companions, they are not among the others, since only requests with all of them are refused.
-func (t *Table) isSure(suspect Suspect, others []Suspect) bool {
-	alone := t.states[suspect].alone()
+func (t *Table) isSure(suspect Suspect, alone []*Crash, others []Suspect) bool {
 	explains := func(other Suspect) bool { return other != suspect && t.states[other].explains(alone) }
 	if len(alone) >= minCrashes && !slices.ContainsFunc(others, explains) {
 		return true
 	}
 	return slices.ContainsFunc(alone, func(crash *Crash) bool {
-		isUnder := func(other Suspect) bool { return other != suspect && t.states[other].isOpen(crash.Target) }
+		isUnder := func(other Suspect) bool { return other != suspect && t.states[other].isOpen(crash.end()) }
 		return t.states[suspect].hasTrialBefore(crash) && !slices.ContainsFunc(others, isUnder)
 	})
 }
@@ -174,7 +189,7 @@
 func (s *suspectState) explains(crashes []*Crash) bool {
 	without := 0
 	for _, crash := range crashes {
-		if !s.isOpen(crash.Target) {
+		if !s.isOpen(crash.end()) {
 			without++
 		}
 	}
--- a/pkg/quarantine/oracle_test.go
+++ b/pkg/quarantine/oracle_test.go
@@ -9,10 +9,10 @@
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
-// fact is that a run of a target crashed under a suspect.
+// fact is that a run of a target crashed under a suspect, or seemed to.
 type fact struct {
 	suspect Suspect
-	target  fleet.Boot
+	target  end
 }
 
 // observation is what is known of a crash.
@@ -22,14 +22,22 @@
 	brokenAt, runningAt int64
 	// coincided is set once another target was known to have crashed at the same moment.
 	coincided, cleared bool
+	// withdrawn is set once the target was known to run later.
+	withdrawn bool
 }
 
 func (o observation) combine(other observation) observation {
-	return observation{min(o.brokenAt, other.brokenAt), max(o.runningAt, other.runningAt), o.coincided || other.coincided, o.cleared || other.cleared}
+	return observation{
+		min(o.brokenAt, other.brokenAt), max(o.runningAt, other.runningAt), o.coincided || other.coincided, o.cleared || other.cleared,
+		o.withdrawn || other.withdrawn,
+	}
 }
 
 // haveOneCause reports whether two crashes may have happened at the same moment.
 func haveOneCause(a, b observation) bool {
+	if a.withdrawn || b.withdrawn {
+		return false
+	}
 	first, second := a, b
 	if second.brokenAt < first.brokenAt {
 		first, second = b, a
@@ -42,13 +50,13 @@
 // also those that nothing is suspected of. It has no bounds.
 type knowledge struct {
 	facts map[fact]observation
-	runs  map[fleet.Boot]observation
+	runs  map[end]observation
 	// provenAt holds the times of the latest completed responses.
 	provenAt map[Suspect]time.Time
 }
 
 func newKnowledge() *knowledge {
-	return &knowledge{facts: map[fact]observation{}, runs: map[fleet.Boot]observation{}, provenAt: map[Suspect]time.Time{}}
+	return &knowledge{facts: map[fact]observation{}, runs: map[end]observation{}, provenAt: map[Suspect]time.Time{}}
 }
 
 func (k *knowledge) isProven(now time.Time, suspect Suspect) bool {
@@ -65,9 +73,41 @@
 		k.facts[f] = o
 	}
 	k.learnRun(f.target, o)
+	if k.runs[f.target].withdrawn {
+		k.withdraw(f.target)
+	}
+}
+
+// withdraw applies that a crash was none.
+func (k *knowledge) withdraw(target end) {
+	run := k.runs[target]
+	run.withdrawn = true
+	k.runs[target] = run
+	for f, o := range k.facts {
+		if f.target == target {
+			o.cleared, o.withdrawn = true, true
+			k.facts[f] = o
+		}
+	}
+}
+
+// knows reports whether a crash is known.
+func (k *knowledge) knows(target end) bool {
+	_, ok := k.runs[target]
+	return ok
+}
+
+// current returns the end of a run that would be its latest one: it has been withdrawn as often as
+// the occasion says.
+func (k *knowledge) current(run fleet.Boot) end {
+	current := end{run: run}
+	for k.runs[current].withdrawn {
+		current.occasion++
+	}
+	return current
 }
 
-func (k *knowledge) learnRun(target fleet.Boot, o observation) {
+func (k *knowledge) learnRun(target end, o observation) {
 	if known, ok := k.runs[target]; ok {
 		o = known.combine(o)
 	}
@@ -82,8 +122,8 @@
 }
 
 // open returns the crashes of targets under a suspect that are not cleared.
-func (k *knowledge) open(suspect Suspect) map[fleet.Boot]observation {
-	targets := map[fleet.Boot]observation{}
+func (k *knowledge) open(suspect Suspect) map[end]observation {
+	targets := map[end]observation{}
 	for f, o := range k.facts {
 		if f.suspect == suspect && !o.cleared {
 			targets[f.target] = o
@@ -94,7 +134,7 @@
 
 // independent returns the length of the longest series of crashes, by the times at which they
 // were noticed, of which no two neighbours may have one cause.
-func independent(crashes map[fleet.Boot]observation) int {
+func independent(crashes map[end]observation) int {
 	ordered := slices.SortedFunc(maps.Values(crashes), func(a, b observation) int { return cmp.Compare(a.brokenAt, b.brokenAt) })
 	longest := 0
 	lengths := make([]int, len(ordered))
@@ -117,7 +157,7 @@
 			continue
 		}
 		for other := range k.runs {
-			o.coincided = o.coincided || (other != f.target && haveOneCause(k.runs[other], o))
+			o.coincided = o.coincided || (other.run != f.target.run && haveOneCause(k.runs[other], o))
 		}
 		k.facts[f] = o
 	}
@@ -125,7 +165,7 @@
 
 // alone returns the targets that crashed under a suspect, at moments at which no other one is known to
 // have crashed.
-func (k *knowledge) alone(suspect Suspect) (targets []fleet.Boot) {
+func (k *knowledge) alone(suspect Suspect) (targets []end) {
 	for target, o := range k.open(suspect) {
 		if !o.coincided {
 			targets = append(targets, target)
@@ -168,8 +208,8 @@
 
 // strength returns the length of the longest series of independent crashes of a suspect: of those
 // at whose moments no target crashed without it, or of the others.
-func (k *knowledge) strength(suspect Suspect, crashes map[fleet.Boot]observation) int {
-	isContradicted := func(target fleet.Boot) bool {
+func (k *knowledge) strength(suspect Suspect, crashes map[end]observation) int {
+	isContradicted := func(target end) bool {
 		if len(k.open(suspect)) < minStoredCrashes {
 			return false
 		}
@@ -184,7 +224,7 @@
 	longest := 0
 	for _, contradicted := range []bool{false, true} {
 		some := maps.Clone(crashes)
-		maps.DeleteFunc(some, func(target fleet.Boot, _ observation) bool { return isContradicted(target) != contradicted })
+		maps.DeleteFunc(some, func(target end, _ observation) bool { return isContradicted(target) != contradicted })
 		longest = max(longest, independent(some))
 	}
 	return longest
@@ -194,7 +234,7 @@
 func (k *knowledge) without(suspect, other Suspect) int {
 	others := k.open(other)
 	crashes := k.open(suspect)
-	maps.DeleteFunc(crashes, func(target fleet.Boot, _ observation) bool {
+	maps.DeleteFunc(crashes, func(target end, _ observation) bool {
 		_, both := others[target]
 		return both
 	})
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -72,24 +72,30 @@
 	states map[Suspect]*suspectState
 	// runs holds the crashes of runs of targets, whatever is suspected of them. All processes
 	// that know the same states know the same runs.
-	runs map[fleet.Boot]*Crash
+	runs map[end]*Crash
 	// provenAt holds the times of the latest completed responses.
 	provenAt    *lru.Cache[Suspect, time.Time]
 	quarantined map[Suspect]verdict
 	// granted holds the trials that this process may make, or makes.
 	granted     map[Suspect]grant
 	transitions []Transition
+	// hasEnded reports whether a run that crashed is known to have ended; nil if all are.
+	hasEnded func(run fleet.Boot) bool
 }
 
-// New returns an empty Table.
-func New() *Table {
+// New returns an empty Table for crashes of runs that are known to have ended.
+func New() *Table { return NewUnconfirmed(nil) }
+
+// NewUnconfirmed returns an empty Table for crashes of runs that have seemed to end. hasEnded
+// reports whether it is known by now that a run has ended. It must not call the Table.
+func NewUnconfirmed(hasEnded func(run fleet.Boot) bool) *Table {
 	provenAt, err := lru.New[Suspect, time.Time](maxProven)
 	if err != nil {
 		panic(err)
 	}
 	return &Table{
-		states: map[Suspect]*suspectState{}, runs: map[fleet.Boot]*Crash{}, provenAt: provenAt,
-		quarantined: map[Suspect]verdict{}, granted: map[Suspect]grant{},
+		states: map[Suspect]*suspectState{}, runs: map[end]*Crash{}, provenAt: provenAt,
+		quarantined: map[Suspect]verdict{}, granted: map[Suspect]grant{}, hasEnded: hasEnded,
 	}
 }
 
@@ -99,6 +105,7 @@
 func (t *Table) RecordCrash(now time.Time, crash Crash, request Request) (suspected []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	crash.Occasion = t.occasion(crash.Target)
 	for _, suspect := range request.suspects() {
 		if t.proven(now, suspect) {
 			continue
@@ -133,6 +140,37 @@
 	return cleared
 }
 
+// RecordRunning records that a run of a target is running, which seemed to have crashed: its
+// responses broke off for another reason. It returns what was suspected because of that.
+func (t *Table) RecordRunning(now time.Time, run fleet.Boot) (cleared []Suspect) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cleared = t.withdraw(end{run: run, occasion: t.occasion(run)})
+	for _, suspect := range cleared {
+		t.states[suspect].observedAt = now
+	}
+	if len(cleared) > 0 {
+		t.update()
+	}
+	slices.SortFunc(cleared, compareSuspects)
+	return cleared
+}
+
+// withdraw marks a crash that was none, and returns what was suspected because of it. The caller
+// must hold t.mu and call update.
+func (t *Table) withdraw(crash end) (cleared []Suspect) {
+	if known, ok := t.runs[crash]; ok {
+		known.Withdrawn = true
+	}
+	for suspect, state := range t.states {
+		if under, ok := state.crashes[crash]; ok && !under.Withdrawn {
+			state.withdraw(under)
+			cleared = append(cleared, suspect)
+		}
+	}
+	return cleared
+}
+
 // Merge adds what another process or the store knows. It reports whether anything was
 // new.
 func (t *Table) Merge(now time.Time, records []Record) bool {
@@ -161,23 +199,28 @@
 	}
 	state, ok := t.states[suspect]
 	if !ok {
-		state = &suspectState{crashes: map[fleet.Boot]*Crash{}, trials: map[string]Trial{}}
+		state = &suspectState{crashes: map[end]*Crash{}, trials: map[string]Trial{}}
 		t.states[suspect] = state
 	}
-	t.addRun(crash)
-	known, ok := state.crashes[crash.Target]
+	run := t.addRun(crash)
+	changed := crash.Withdrawn && len(t.withdraw(crash.end())) > 0
+	known, ok := state.crashes[crash.end()]
 	if !ok {
-		if !crash.Cleared && t.proven(now, suspect) {
-			crash.Cleared = true
+		if !crash.Cleared && (t.proven(now, suspect) || run.Withdrawn) {
+			crash.Cleared, crash.Withdrawn = true, run.Withdrawn
 			state.observedAt = now
 		}
 		state.add(crash)
 		state.limit()
 		return true
 	}
-	changed := known.observe(&crash)
-	if changed {
+	if run.Withdrawn && !known.Withdrawn {
+		state.withdraw(known)
+		changed = true
+	}
+	if known.observe(&crash) {
 		state.ordered = nil
+		changed = true
 	}
 	if crash.Cleared && !known.Cleared {
 		state.clear(known)
@@ -219,10 +262,20 @@
 			delete(t.states, suspect)
 		}
 	}
-	maps.DeleteFunc(t.runs, func(_ fleet.Boot, crash *Crash) bool { return crash.UnixMS < now.Add(-crashTTL).UnixMilli() })
+	maps.DeleteFunc(t.runs, func(_ end, crash *Crash) bool { return crash.UnixMS < now.Add(-crashTTL).UnixMilli() })
 	t.update()
 }
 
+// Reconsider derives the quarantined suspects again, since it may be known of other runs whether
+// they have ended.
+func (t *Table) Reconsider() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.quarantined) > 0 {
+		t.update()
+	}
+}
+
 // update drops what exceeds the bounds and derives the quarantined suspects. The caller
 // must hold t.mu.
 func (t *Table) update() {
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -24,10 +24,23 @@
 	// Cleared is set once a target has completed a response to a request with the
 	// suspect: it did not cause the crash.
 	Cleared bool `json:"cleared,omitempty"`
+	// Withdrawn is set, with Cleared, once the run is known to have been running later: its
+	// responses broke off for another reason. Occasion is the number of times that this had
+	// happened to the run before.
+	Withdrawn bool `json:"withdrawn,omitempty"`
+	Occasion  int  `json:"occasion,omitempty"`
 	// isContradicted is set if another run crashed at the same moment without the suspect.
 	isContradicted bool
 }
 
+// end identifies what seemed to be the end of a run of a target.
+type end struct {
+	run      fleet.Boot
+	occasion int
+}
+
+func (c *Crash) end() end { return end{run: c.Target, occasion: c.Occasion} }
+
 // Record holds what is known of a suspect.
 type Record struct {
 	Suspect
@@ -52,13 +65,13 @@
 func (r *Record) hasMoreThan(stored *Record) bool {
 	isSuspected := r.openCrashes() >= minStoredCrashes
 	isStored := stored.openCrashes() >= minStoredCrashes
-	known := make(map[fleet.Boot]*Crash, len(stored.Crashes))
+	known := make(map[end]*Crash, len(stored.Crashes))
 	for i := range stored.Crashes {
-		known[stored.Crashes[i].Target] = &stored.Crashes[i]
+		known[stored.Crashes[i].end()] = &stored.Crashes[i]
 	}
 	for i := range r.Crashes {
 		crash := &r.Crashes[i]
-		held, ok := known[crash.Target]
+		held, ok := known[crash.end()]
 		switch {
 		case !ok && isSuspected && !crash.Cleared:
 			return true
@@ -92,7 +105,7 @@
 
 // suspectState is the state of a suspect.
 type suspectState struct {
-	crashes map[fleet.Boot]*Crash
+	crashes map[end]*Crash
 	// openCount is the number of crashes that are not cleared.
 	openCount int
 	// ordered holds these crashes, the earliest first; nil if that is not known.
@@ -106,7 +119,7 @@
 
 // add adds a crash that isn't known.
 func (s *suspectState) add(crash Crash) {
-	s.crashes[crash.Target] = &crash
+	s.crashes[crash.end()] = &crash
 	s.ordered = nil
 	if !crash.Cleared {
 		s.openCount++
@@ -131,18 +144,24 @@
 	return changed
 }
 
-func (s *suspectState) remove(run fleet.Boot) {
-	if !s.crashes[run].Cleared {
+func (s *suspectState) remove(crash end) {
+	if !s.crashes[crash].Cleared {
 		s.openCount--
 	}
 	s.ordered = nil
-	delete(s.crashes, run)
+	delete(s.crashes, crash)
+}
+
+// withdraw marks a known crash that was none.
+func (s *suspectState) withdraw(crash *Crash) {
+	s.clear(crash)
+	crash.Withdrawn = true
 }
 
-// isOpen reports whether the crash of a run is known and not cleared.
-func (s *suspectState) isOpen(run fleet.Boot) bool {
-	crash, ok := s.crashes[run]
-	return ok && !crash.Cleared
+// isOpen reports whether a crash is known and not cleared.
+func (s *suspectState) isOpen(crash end) bool {
+	known, ok := s.crashes[crash]
+	return ok && !known.Cleared
 }
 
 // record returns the state as a Record, with the most recent crashes first.
@@ -152,7 +171,7 @@
 		r.Crashes = append(r.Crashes, *crash)
 	}
 	slices.SortFunc(r.Crashes, func(a, b Crash) int {
-		return cmp.Or(cmp.Compare(b.UnixMS, a.UnixMS), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Target.StartUnixMS, b.Target.StartUnixMS))
+		return cmp.Or(cmp.Compare(b.UnixMS, a.UnixMS), cmp.Compare(a.Target.ID, b.Target.ID), cmp.Compare(a.Target.StartUnixMS, b.Target.StartUnixMS), cmp.Compare(b.Occasion, a.Occasion))
 	})
 	r.Trials = s.sortedTrials()
 	return r
@@ -193,9 +212,9 @@
 // expire drops the crashes and trials from before the given time.
 func (s *suspectState) expire(beforeUnixMS int64) {
 	maps.DeleteFunc(s.trials, func(_ string, trial Trial) bool { return trial.UnixMS < beforeUnixMS })
-	for run, crash := range s.crashes {
+	for id, crash := range s.crashes {
 		if crash.UnixMS < beforeUnixMS {
-			s.remove(run)
+			s.remove(id)
 		}
 	}
 }
@@ -208,14 +227,14 @@
 	}
 }
 
-func (s *suspectState) leastRelevant() fleet.Boot {
+func (s *suspectState) leastRelevant() end {
 	var least *Crash
 	for _, crash := range s.crashes {
 		if least == nil || lessRelevant(crash, least) {
 			least = crash
 		}
 	}
-	return least.Target
+	return least.end()
 }
 
 func lessRelevant(a, b *Crash) bool {
--- a/pkg/quarantine/state_test.go
+++ b/pkg/quarantine/state_test.go
@@ -72,6 +72,8 @@
 	restored bool
 	// commonCauses counts the moments at which several targets crashed.
 	commonCauses int
+	// refusing holds the numbers of the runs that have seemed to crash, and go on.
+	refusing []int
 	// requests counts the requests that come only once.
 	requests int
 	// partCrashes and requestCrashes tell what crashes targets.
@@ -177,14 +179,45 @@
 	}
 }
 
+// refuse breaks off a request at a target that goes on running, whose address refuses connections then.
+func (w *world) refuse(t *rapid.T) {
+	p, request := w.draw(t), w.drawRequest(t)
+	if w.isRefused(p, request) || w.doesCrash(request) {
+		return
+	}
+	w.now = w.now.Add(crashInterval)
+	n := w.crashes
+	if len(w.refusing) > 0 && rapid.Bool().Draw(t, "again") {
+		n = rapid.SampledFrom(w.refusing).Draw(t, "run")
+	} else {
+		w.crashes++
+		w.refusing = append(w.refusing, n)
+	}
+	w.recordCrash(p, crashAt(n, w.now), request)
+}
+
+// answer lets a process find out that a target goes on running.
+func (w *world) answer(t *rapid.T) {
+	if len(w.refusing) == 0 {
+		return
+	}
+	w.changed = true
+	p, target := w.draw(t), run(rapid.SampledFrom(w.refusing).Draw(t, "run"))
+	p.table.RecordRunning(w.now, target)
+	if current := p.oracle.current(target); p.oracle.knows(current) {
+		p.oracle.withdraw(current)
+	}
+}
+
 // recordCrash records a crash at a process, and reports whether anything is suspected of it.
 func (w *world) recordCrash(p *testProcess, crash Crash, request Request) (suspected bool) {
 	w.changed = true
 	suspected = len(p.table.RecordCrash(w.now, crash, request)) > 0
 	o := observation{brokenAt: crash.UnixMS, runningAt: crash.RunningUnixMS}
+	target := p.oracle.current(crash.Target)
 	for _, suspect := range request.suspects() {
 		if !p.oracle.isProven(w.now, suspect) {
-			p.oracle.learn(w.now, fact{suspect, crash.Target}, o)
+			p.oracle.learn(w.now, fact{suspect, target}, o)
 		}
 	}
 	p.oracle.mark()
@@ -278,6 +311,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"send":     w.send,
 			"together": w.crashTogether,
+			"refuse":   w.refuse,
+			"answer":   w.answer,
 			"expire":   func(*rapid.T) { w.expire() },
 			"exchange": func(t *rapid.T) { w.exchange(w.draw(t), w.draw(t)) },
 			"write":    func(t *rapid.T) { w.write(w.draw(t)) },
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -17,6 +17,9 @@
 	// unsureTrialDelay is that time for a suspect whose crashes a common cause explains as
 	// well: it is likely to be sound, and its callers wait.
 	unsureTrialDelay = time.Second
+	// unconfirmedTrialDelay is that time for a suspect whose crashes only seem to be some: it
+	// mostly shows by then whether the runs have ended.
+	unconfirmedTrialDelay = 5 * time.Second
 	// maxPartTrials and maxRequestTrials are the numbers of trials of a quarantined suspect,
 	// whatever the number of its crashes: what is refused can't be cleared in another way.
 	// Trials that have shown nothing are not counted.
@@ -103,6 +106,8 @@
 // trialDelay returns the time after the latest crash or trial of a suspect before the next one.
 func (t *Table) trialDelay(suspect Suspect) time.Duration {
 	switch {
+	case t.quarantined[suspect].unconfirmed:
+		return unconfirmedTrialDelay
 	case !t.quarantined[suspect].sure:
 		return unsureTrialDelay
 	case suspect.Request != "" && !t.isAmbiguous(suspect):
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -14,10 +14,13 @@
 	// sure is set if neither a common cause of several crashes nor another suspect explains those
 	// of the suspect.
 	sure bool
+	// unconfirmed is set if it only isn't sure because the runs of its crashes are not known to
+	// have ended.
+	unconfirmed bool
 }
 
 func (v verdict) equal(other verdict) bool {
-	return v.sure == other.sure && slices.Equal(v.companions, other.companions)
+	return v.sure == other.sure && v.unconfirmed == other.unconfirmed && slices.Equal(v.companions, other.companions)
 }
 
 // derive returns the quarantined suspects.
@@ -31,17 +34,28 @@
 	suspectedParts := slices.DeleteFunc(t.mostCrashes(parts), isExplained)
 	quarantined := make(map[Suspect]verdict, len(suspectedRequests)+len(suspectedParts))
 	for _, request := range suspectedRequests {
-		quarantined[request] = verdict{sure: t.isSure(request, suspectedRequests)}
+		quarantined[request] = t.verdict(request, suspectedRequests)
 	}
 	for _, part := range suspectedParts {
 		companions := t.companions(part, suspectedParts)
 		isCompanion := func(other Suspect) bool { return slices.Contains(companions, other) }
 		others := slices.DeleteFunc(slices.Concat(suspectedParts, explanations), isCompanion)
-		quarantined[part] = verdict{companions: companions, sure: t.isSure(part, others)}
+		found := t.verdict(part, others)
+		found.companions = companions
+		quarantined[part] = found
 	}
 	return quarantined
 }
 
+// verdict returns what holds of a quarantined suspect without companions, beside the other
+// suspects that may explain its crashes.
+func (t *Table) verdict(suspect Suspect, others []Suspect) verdict {
+	alone := t.states[suspect].alone()
+	ended := slices.DeleteFunc(slices.Clone(alone), func(crash *Crash) bool { return t.hasEnded != nil && !t.hasEnded(crash.Target) })
+	sure := t.isSure(suspect, ended, others)
+	return verdict{sure: sure, unconfirmed: !sure && t.isSure(suspect, alone, others)}
+}
+
 // recurrent returns the requests that may explain the crashes of another suspect, and the
 // parts that have enough independent crashes.
 func (t *Table) recurrent() (requests, parts []Suspect) {
--- a/pkg/relay/ending.go
+++ b/pkg/relay/ending.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	target := &a.choice.Target
-	conn, err := q.relay.Pools.Get(a.ctx, target, q.connLimit(), nil)
+	conn, err := q.relay.connect(a.ctx, target, q.relay.connLimit(q.config, q.service), nil)
 	if err == nil {
 		conn.Return()
 		return nil
@@ -33,7 +33,6 @@
 		// No connection could be had for another reason, which says nothing about the response.
 		return nil
 	}
-	q.relay.TargetRuns.Refused(target.Boot())
 	return errEndedWithTarget
 }
 
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"syscall"
-
 	"github.com/juju/errors"
 
 	"github.com/baobabhub/baobabhub/pkg/call"
@@ -15,12 +13,9 @@
 func (q *request) roundTrip(a *attempt) outcome {
 	relay := q.relay
 	target := &a.choice.Target
-	conn, err := relay.Pools.Get(a.ctx, target, q.connLimit(), q.usedConns)
+	conn, err := relay.connect(a.ctx, target, relay.connLimit(q.config, q.service), q.usedConns)
 	if err != nil {
 		a.err = err
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			relay.TargetRuns.Refused(target.Boot())
-		}
 		return notSent
 	}
 	if err := q.checkRun(a, conn); err != nil {
@@ -98,13 +93,13 @@
 
 // connLimit returns this process's share of the connections that a target
 // accepts.
-func (q *request) connLimit() int {
+func (l *Relay) connLimit(config *fleet.Config, service string) int {
 	const unlimited = 1 << 20
-	maxConns := q.config.Services[q.service].MaxConns
+	maxConns := config.Services[service].MaxConns
 	if maxConns <= 0 {
 		return unlimited
 	}
-	return max(2, maxConns/(q.relay.Processes()+1))
+	return max(2, maxConns/(l.Processes()+1))
 }
 
 func (q *request) forwardFields(a *attempt) call.ForwardFields {
--- a/pkg/relay/runcheck.go
+++ b/pkg/relay/runcheck.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -57,7 +59,7 @@
 	}
 	target := &a.choice.Target
 	if !conn.RunAsked() {
-		if err := q.askRun(a, conn); err != nil {
+		if err := q.relay.askRun(a.ctx, target, conn); err != nil {
 			return errors.Annotate(err, "asking for the run of a target")
 		}
 	}
@@ -68,11 +70,51 @@
 	return nil
 }
 
-// askRun asks for the run of the target that a connection leads to.
-func (q *request) askRun(a *attempt, conn *targetconn.Conn) error {
-	query, target := q.relay.RunQuery, &a.choice.Target
-	askedAt := q.relay.Now()
-	status, body, err := conn.Ask(a.ctx, &targetconn.Request{
+// ErrRunNotTold means that a target can't be asked for its run, or doesn't tell it.
+const ErrRunNotTold = errors.ConstError("the target doesn't tell its run")
+
+// ExamineRun connects to a target and asks for its run. TargetRuns is told what that shows. On an
+// error it is not known whether the run goes on.
+func (l *Relay) ExamineRun(ctx context.Context, target *fleet.Target) error {
+	config := l.CurrentConfig()
+	if config == nil || l.RunQuery == nil || !config.Services[target.Service].HasEngines {
+		return errors.Trace(ErrRunNotTold)
+	}
+	conn, err := l.connect(ctx, target, l.connLimit(config, target.Service), nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	// A kept connection may have been opened before the run seemed to end, so that it has to
+	// answer now.
+	if err := l.askRun(ctx, target, conn); err != nil {
+		if errors.Is(err, errOtherRun) {
+			return nil
+		}
+		return errors.Annotate(err, "asking for the run of a target")
+	}
+	told := conn.LeadsToRun()
+	conn.Return()
+	if !told {
+		return errors.Trace(ErrRunNotTold)
+	}
+	return nil
+}
+
+// connect returns a connection to a target. A refusal shows that its run may have ended.
+func (l *Relay) connect(ctx context.Context, target *fleet.Target, limit int, used *targetconn.UsedConns) (*targetconn.Conn, error) {
+	conn, err := l.Pools.Get(ctx, target, limit, used)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		l.TargetRuns.Refused(target.Boot())
+	}
+	return conn, errors.Trace(err)
+}
+
+// askRun asks for the run of the target that a connection leads to. On an error the connection is
+// closed.
+func (l *Relay) askRun(ctx context.Context, target *fleet.Target, conn *targetconn.Conn) error {
+	query := l.RunQuery
+	askedAt := l.Now()
+	status, body, err := conn.Ask(ctx, &targetconn.Request{
 		Method: http.MethodGet, URI: query.Path(), Host: target.Address, Header: query.Header(target.ID),
 	}, maxRunAnswerBytes)
 	if err != nil {
@@ -87,13 +129,13 @@
 	if isTold && start != target.StartUnixMS {
 		conn.Close()
 		if start > target.StartUnixMS {
-			q.relay.TargetRuns.Replaced(target.Boot())
+			l.TargetRuns.Replaced(target.Boot())
 		}
 		return errors.Annotatef(errOtherRun, "it started at %d, not %d", start, target.StartUnixMS)
 	}
 	conn.SetRun(isTold)
 	if isTold {
-		q.relay.TargetRuns.Running(target.Boot(), askedAt)
+		l.TargetRuns.Running(target.Boot(), askedAt)
 	}
 	return nil
 }
