A refused connection doesn't take back what answered prompts have shown

Callers saw: nothing by itself; but a sound prompt whose responses end with their connections was suspected after ordinary crashes, and could be refused, if an engine that had answered it refused a connection afterwards.

A response without a length waits for a later answer of the same run before it clears its prompt. A refused connection was taken for the end of the run, and dropped the responses that waited.

Change: they are dropped when the run is known to have ended. While it is in doubt, answers from its address confirm nothing, since another run may give them.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -258,7 +258,6 @@
 
 // handleSuspectedEnd applies that a run of a target may have ended.
 func (e *Entry) handleSuspectedEnd(run fleet.Boot) {
-	e.quarantine.unframed.drop(run)
 	e.canary.recordEnded(e.uptime(), run)
 }
 
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -111,13 +111,16 @@
 
 // CompletedUnframed implements relay.Quarantine.
 func (k *quarantineKeeper) CompletedUnframed(target fleet.Target, request quarantine.Request) {
-	if !k.entry.directory.MayHaveEnded(target.Boot()) {
+	if !k.entry.directory.HasEnded(target.Boot()) {
 		k.unframed.add(k.entry.uptime(), target.Boot(), request)
 	}
 }
 
-// Answered implements relay.Quarantine.
+// Answered implements relay.Quarantine. While the run may have ended, another one may have answered.
 func (k *quarantineKeeper) Answered(target fleet.Boot, sentAt time.Duration) {
+	if !k.unframed.isWaiting(target) || k.entry.directory.IsInDoubt(target) {
+		return
+	}
 	for _, request := range k.unframed.confirm(sentAt, target) {
 		k.Completed(request)
 	}
--- a/pkg/entry/runends.go
+++ b/pkg/entry/runends.go
@@ -90,6 +90,7 @@
 			return false
 		}
 		e.log(eventlog.TargetRunEnded, boot, found.at, source)
+		e.entry.quarantine.unframed.drop(boot)
 		e.entry.quarantine.reconsider()
 	case fleet.RunAnswered:
 		if !directory.MarkRunning(found.at, boot) {
--- a/pkg/entry/unframed.go
+++ b/pkg/entry/unframed.go
@@ -42,6 +42,13 @@
 	u.byRun[run] = u.byRun[run][max(0, len(u.byRun[run])-maxUnframedPerRun):]
 }
 
+// isWaiting reports whether responses of a run wait for an answer to a later request.
+func (u *unframedResponses) isWaiting(run fleet.Boot) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.byRun[run]) > 0
+}
+
 // confirm returns the requests whose responses had ended when a request was sent that the run
 // has answered.
 func (u *unframedResponses) confirm(sentAt time.Duration, run fleet.Boot) []quarantine.Request {
--- a/pkg/fleet/runs.go
+++ b/pkg/fleet/runs.go
@@ -124,6 +124,15 @@
 	return ok && evidence.mayHaveEnded() || !d.isListed(boot)
 }
 
+// IsInDoubt reports whether a registered run of a target has refused a connection, and has not been
+// known to be running since.
+func (d *Directory) IsInDoubt(boot Boot) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	evidence, ok := d.evidence[boot]
+	return ok && evidence.mayHaveEnded()
+}
+
 // SetReportInterval sets the interval at which targets report to the registry.
 func (d *Directory) SetReportInterval(interval time.Duration) {
 	d.mu.Lock()
