Only ends that are known roll a software version back, not refused connections

Callers saw nothing by it; operators did: a sound version that is being rolled out was reverted for good after three moments at which the addresses of its targets refused connections, although the targets went on running.

A refused connection was counted as the crash of a target of the new version (recordEnded), and a revert is final.

Evidence: TestRefusalsDuringRollout on the code before: reverted after three refusals; log rollout_changed with reason crashes.

Change: the moment is kept when the connection is refused, and counts against the new version once the run is known to have ended (the registry, another run at its address). It is dropped when the run has answered. The old version's moments count at once, as they speak for the new one.

Why this works: three real crashes still revert it (same test, and TestCrashes), at the latest when the registry has noticed the third one.

--- a/pkg/canary/rollout.go
+++ b/pkg/canary/rollout.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math/rand/v2"
 	"time"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 )
 
 const (
@@ -195,8 +197,13 @@
 	r.own[key] = counts
 }
 
-// RecordCrash records that a target of the service has crashed.
-func (r *Rollout) RecordCrash(now time.Duration, isNew bool) { r.crashes.record(now, isNew) }
+// RecordCrash records that a run of a target of the service has seemed to crash.
+func (r *Rollout) RecordCrash(now time.Duration, run fleet.Boot, isNew bool) {
+	r.crashes.record(now, run, isNew)
+}
+
+// SettleCrashes applies what is known by now of the runs that have seemed to crash.
+func (r *Rollout) SettleCrashes(state func(run fleet.Boot) RunState) { r.crashes.settle(state) }
 
 // News is what a process tells the others of a rollout.
 type News struct {
--- a/pkg/canary/rollout_test.go
+++ b/pkg/canary/rollout_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"pgregory.net/rapid"
 
 	"github.com/baobabhub/baobabhub/pkg/kv"
@@ -187,13 +189,23 @@
 	Convey("Given a rollout", t, func() {
 		r := newTestRollout(0, 0)
 		r.Raise(Running, "")
-		crash := func(at time.Duration, both bool) {
-			r.RecordCrash(at, true)
+		states := map[fleet.Boot]RunState{}
+		seemToCrash := func(at time.Duration, both bool) {
+			r.RecordCrash(at, fleet.Boot{ID: "new", StartUnixMS: int64(at)}, true)
 			if both {
-				r.RecordCrash(at+100*time.Millisecond, false)
+				r.RecordCrash(at+100*time.Millisecond, fleet.Boot{ID: "old", StartUnixMS: int64(at)}, false)
 			}
+		}
+		settle := func(id string, at time.Duration, state RunState) {
+			states[fleet.Boot{ID: id, StartUnixMS: int64(at)}] = state
+			r.SettleCrashes(func(run fleet.Boot) RunState { return states[run] })
 			r.Judge(at, true)
 		}
+		crash := func(at time.Duration, both bool) {
+			seemToCrash(at, both)
+			settle("new", at, HasEnded)
+			settle("old", at, HasEnded)
+		}
 		Convey("crashes of both versions at the same time don't count", func() {
 			for i := range 6 {
 				crash(time.Duration(i)*1500*time.Millisecond, true)
@@ -212,5 +224,33 @@
 			So(state, ShouldEqual, Reverted)
 			So(reason, ShouldEqual, ReasonCrashes)
 		})
+		Convey("runs that only refuse connections for some time don't", func() {
+			for i := range 6 {
+				at := time.Duration(i) * 2 * time.Second
+				seemToCrash(at, false)
+				settle("new", at, MayHaveEnded)
+			}
+			for i := range 6 {
+				settle("new", time.Duration(i)*2*time.Second, IsRunning)
+			}
+			state, _ := r.State()
+			So(state, ShouldEqual, Running)
+			Convey("and the same runs do when they crash later", func() {
+				for i := range 3 {
+					crash(time.Duration(i)*2*time.Second, false)
+				}
+				state, _ := r.State()
+				So(state, ShouldEqual, Reverted)
+			})
+		})
+		Convey("nor do runs that have ended beside ones of the old version that may have", func() {
+			for i := range 6 {
+				at := time.Duration(i) * 2 * time.Second
+				seemToCrash(at, true)
+				settle("new", at, HasEnded)
+			}
+			state, _ := r.State()
+			So(state, ShouldEqual, Running)
+		})
 	})
 }
--- a/pkg/entry/canary.go
+++ b/pkg/entry/canary.go
@@ -218,8 +218,8 @@
 	}
 }
 
-// recordEnded records that a run of a target has ended. It is called without k.mu.
-func (k *canaryKeeper) recordEnded(now time.Duration, boot fleet.Boot) {
+// recordSuspectedEnd records that a run of a target may have ended. It is called without k.mu.
+func (k *canaryKeeper) recordSuspectedEnd(now time.Duration, boot fleet.Boot) {
 	if k == nil {
 		return
 	}
@@ -230,7 +230,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if r, ok := k.byService[target.Service]; ok {
-		r.RecordCrash(now, target.SoftwareVersion == r.Order().Target)
+		r.RecordCrash(now, boot, target.SoftwareVersion == r.Order().Target)
+	}
+}
+
+// runState returns what is known of a run that has seemed to crash.
+func (k *canaryKeeper) runState(run fleet.Boot) canary.RunState {
+	switch {
+	case k.entry.directory.HasEnded(run):
+		return canary.HasEnded
+	case k.entry.directory.IsInDoubt(run):
+		return canary.MayHaveEnded
+	default:
+		return canary.IsRunning
 	}
 }
 
@@ -264,6 +276,7 @@
 		k.handleChange(now, r, sourceSelf)
 		return
 	}
+	r.SettleCrashes(k.runState)
 	finding, changed := r.Judge(now, isLeader)
 	r.finding = finding
 	if changed {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -256,11 +256,6 @@
 	return relay.New(config)
 }
 
-// handleSuspectedEnd applies that a run of a target may have ended.
-func (e *Entry) handleSuspectedEnd(run fleet.Boot) {
-	e.canary.recordEnded(e.uptime(), run)
-}
-
 // hasRunEnded reports whether a run of a target is known to have ended.
 func (e *Entry) hasRunEnded(run fleet.Boot) bool {
 	return e.ready.targetsListed.Load() && e.directory.HasEnded(run)
--- a/pkg/entry/runends.go
+++ b/pkg/entry/runends.go
@@ -84,12 +84,13 @@
 			return false
 		}
 		e.log(eventlog.TargetRefused, boot, found.at, source)
-		e.entry.handleSuspectedEnd(boot)
+		e.entry.canary.recordSuspectedEnd(e.entry.uptime(), boot)
 	case fleet.LaterRunFound:
 		if !directory.MarkEnded(found.at, boot) {
 			return false
 		}
 		e.log(eventlog.TargetRunEnded, boot, found.at, source)
+		e.entry.canary.recordSuspectedEnd(e.entry.uptime(), boot)
 		e.entry.quarantine.unframed.drop(boot)
 		e.entry.quarantine.reconsider()
 	case fleet.RunAnswered:
--- a/pkg/entry/runends_test.go
+++ b/pkg/entry/runends_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/baobabhub/baobabhub/pkg/canary"
 	"github.com/baobabhub/baobabhub/pkg/fleet"
 	"github.com/baobabhub/baobabhub/pkg/quarantine"
 )
@@ -41,3 +43,42 @@
 		})
 	})
 }
+
+// TestRefusalsDuringRollout guards against a sound software version that is rolled back, because the
+// addresses of its targets refused connections for some time. One whose targets crash is rolled back.
+func TestRefusalsDuringRollout(t *testing.T) {
+	Convey("Given a rollout, and three targets of the new version that refuse connections in turn", t, func() {
+		k := newCanaryFixture(t, "v1", "v2")
+		r := k.order("v2", 1)
+		r.Raise(canary.Running, "")
+		judge := func() canary.State {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.judge(k.entry.uptime(), r, false)
+			state, _ := r.State()
+			return state
+		}
+		var runs []fleet.Boot
+		for n := range int64(3) {
+			run := fleet.Boot{ID: fmt.Sprint("new-", n), StartUnixMS: n}
+			runs = append(runs, run)
+			k.entry.directory.Put(k.entry.uptime(), fleet.Target{ID: run.ID, StartUnixMS: n, Service: "s", SoftwareVersion: "v2"})
+			k.entry.startTime = k.entry.startTime.Add(-2 * time.Second)
+			k.entry.runEnds.Refused(run)
+		}
+		Convey("it goes on while they may have ended, and when they answer again", func() {
+			So(judge(), ShouldEqual, canary.Running)
+			for _, run := range runs {
+				k.entry.runEnds.Running(run, k.entry.uptime())
+			}
+			So(judge(), ShouldEqual, canary.Running)
+		})
+		Convey("it is reverted once they have ended", func() {
+			k.entry.directory.Remove(k.entry.uptime(), runs[0].ID)
+			k.entry.directory.Remove(k.entry.uptime(), runs[1].ID)
+			So(judge(), ShouldEqual, canary.Running)
+			k.entry.runEnds.Replaced(runs[2])
+			So(judge(), ShouldEqual, canary.Reverted)
+		})
+	})
+}
