An engine's own error answer clears a request of crashes, with less weight

Cause: only a completed 2xx cleared a request of the crashes that it was beside (reportCrashEvidence). What is answered with an error was never cleared, and three crashes made it sure, for half an hour.

Ruled out: one event, different load.

Change: a complete error of the target's own counts once the same run has answered a later request. A later crash of that run doesn't speak against the request; errors of three different runs since the latest crash clear it; a trial that is answered so is not used up, leaves a request refused with 503 instead of 400, and three of them clear it. Errors say nothing of the parts of a prompt.

Why this works: a request that crashes each engine that begins to run it isn't answered by the run that it crashes. An engine that fails before it begins takes out its own crashes only, so that a request that crashes the others is still refused after three.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -83,6 +83,9 @@
 	NotRun bool
 	// InstanceMismatch reports whether another target uses the address.
 	InstanceMismatch bool
+	// OtherInstance reports whether the response names another target than the one that the
+	// request was sent to.
+	OtherInstance bool
 	// WeightsVersion is the weights version that produced the response; 0 if it
 	// was not sent.
 	WeightsVersion int64
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -44,10 +44,10 @@
 // quarantineKeeper shares what this process and its peers know of requests and parts of
 // prompts that crash targets. It implements relay.Quarantine.
 type quarantineKeeper struct {
-	entry    *Entry
-	table    *quarantine.Table
-	detector *crashDetector
-	unframed *unframedResponses
+	entry       *Entry
+	table       *quarantine.Table
+	detector    *crashDetector
+	unconfirmed *unconfirmedResponses
 	// changed requests a comparison with the store.
 	changed chan struct{}
 	// refusedSuspects holds suspects of which a trial is due.
@@ -65,7 +65,7 @@
 
 func newQuarantineKeeper(entry *Entry) *quarantineKeeper {
 	return &quarantineKeeper{
-		entry: entry, table: quarantine.NewUnconfirmed(entry.hasRunEnded), detector: newCrashDetector(entry), unframed: newUnframedResponses(),
+		entry: entry, table: quarantine.NewUnconfirmed(entry.hasRunEnded), detector: newCrashDetector(entry), unconfirmed: newUnconfirmedResponses(),
 		changed: make(chan struct{}, 1), refusedSuspects: make(chan quarantine.Suspect, 1),
 	}
 }
@@ -112,17 +112,42 @@
 // CompletedUnframed implements relay.Quarantine.
 func (k *quarantineKeeper) CompletedUnframed(target fleet.Target, request quarantine.Request) {
 	if !k.entry.directory.HasEnded(target.Boot()) {
-		k.unframed.add(k.entry.uptime(), target.Boot(), request)
+		k.unconfirmed.add(target.Boot(), unconfirmedResponse{endedAt: k.entry.uptime(), request: request})
+	}
+}
+
+// AnsweredWithError implements relay.Quarantine.
+func (k *quarantineKeeper) AnsweredWithError(target fleet.Target, request quarantine.Request, trialOf quarantine.Suspect) {
+	if !k.entry.directory.HasEnded(target.Boot()) {
+		k.unconfirmed.add(target.Boot(), unconfirmedResponse{endedAt: k.entry.uptime(), request: request, isError: true, trialOf: trialOf})
 	}
 }
 
 // Answered implements relay.Quarantine. While the run may have ended, another one may have answered.
 func (k *quarantineKeeper) Answered(target fleet.Boot, sentAt time.Duration) {
-	if !k.unframed.isWaiting(target) || k.entry.directory.IsInDoubt(target) {
+	if !k.unconfirmed.isWaiting(target) || k.entry.directory.IsInDoubt(target) {
 		return
 	}
-	for _, request := range k.unframed.confirm(sentAt, target) {
-		k.Completed(request)
+	for _, response := range k.unconfirmed.confirm(sentAt, target) {
+		if response.isError {
+			k.recordErrorAnswer(target, &response)
+		} else {
+			k.Completed(response.request)
+		}
+	}
+}
+
+// recordErrorAnswer records that a run has answered a request with an error, and goes on.
+func (k *quarantineKeeper) recordErrorAnswer(run fleet.Boot, response *unconfirmedResponse) {
+	cleared := k.table.RecordErrorAnswer(time.Now(), run, response.request)
+	if response.trialOf != (quarantine.Suspect{}) {
+		cleared = append(cleared, k.table.RecordTrialAnswer(time.Now(), response.trialOf)...)
+		k.entry.log.Log(eventlog.TrialAnswered, "fingerprint", response.trialOf.Request, "part", response.trialOf.Part, "target", run.ID, "born", run.StartUnixMS)
+		k.requestWrite()
+	}
+	if len(cleared) > 0 {
+		k.logCleared(cleared)
+		k.applyChange(sourceSelf)
 	}
 }
 
@@ -185,7 +210,7 @@
 
 // expire drops what no longer counts.
 func (k *quarantineKeeper) expire() {
-	k.unframed.expire(k.entry.uptime())
+	k.unconfirmed.expire(k.entry.uptime())
 	k.table.Expire(time.Now())
 	k.logTransitions(sourceSelf)
 }
--- a/pkg/entry/runends.go
+++ b/pkg/entry/runends.go
@@ -91,7 +91,7 @@
 		}
 		e.log(eventlog.TargetRunEnded, boot, found.at, source)
 		e.entry.canary.recordSuspectedEnd(e.entry.uptime(), boot)
-		e.entry.quarantine.unframed.drop(boot)
+		e.entry.quarantine.unconfirmed.drop(boot)
 		e.entry.quarantine.reconsider()
 	case fleet.RunAnswered:
 		if !directory.MarkRunning(found.at, boot) {
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -92,6 +92,8 @@
 		[]string{"target", "born", "source", "age_ms"}}
 	TargetRefused = Event{968, "target_refused", "The address of a target refused a connection, so that its run may have ended. Streams that have begun go on there only over a connection on which the run itself answers. The source is self or a peer, and age_ms the time since the refusal.",
 		[]string{"target", "born", "source", "age_ms"}}
+	TrialAnswered = Event{970, "trial_answered", "A target has answered a trial with an error, and goes on: it did not crash. That shows nothing about a part of a prompt. A request needs several such answers.",
+		[]string{"fingerprint", "part", "target", "born"}}
 	TargetRunConfirmed = Event{969, "target_run_confirmed", "The run of a target that refused a connection before, or that seemed to have ended, is running. The source is self or a peer, to which the run answered, or registry, to which it has reported since.",
 		[]string{"target", "born", "source", "age_ms"}}
 	ConnNotReset = Event{957, "conn_not_reset", "The connection of an incomplete response that ends with its connection could not be set up to be reset, so that its caller may take the response for complete.",
@@ -128,5 +130,5 @@
 	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
 	RolloutOrdered, RolloutChanged, RolloutProgress, RolloutRecorded,
 	OverloadRefused, OverloadAdmitted, CallerConnsLimited, HedgeDecided, HedgeEnded,
-	TargetRefused, TargetRunConfirmed,
+	TargetRefused, TargetRunConfirmed, TrialAnswered,
 }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -73,9 +73,11 @@
 	// runs holds the crashes of runs of targets, whatever is suspected of them. All processes
 	// that know the same states know the same runs.
 	runs map[end]*Crash
-	// provenAt holds the times of the latest completed responses.
-	provenAt    *lru.Cache[Suspect, time.Time]
-	quarantined map[Suspect]verdict
+	// provenAt holds the times of the latest completed responses, and errorAnswers the runs that have
+	// answered requests with errors.
+	provenAt     *lru.Cache[Suspect, time.Time]
+	errorAnswers *lru.Cache[Suspect, []fleet.Boot]
+	quarantined  map[Suspect]verdict
 	// granted holds the trials that this process may make, or makes.
 	granted     map[Suspect]grant
 	transitions []Transition
@@ -93,21 +95,26 @@
 	if err != nil {
 		panic(err)
 	}
+	errorAnswers, err := lru.New[Suspect, []fleet.Boot](maxErrorAnswers)
+	if err != nil {
+		panic(err)
+	}
 	return &Table{
-		states: map[Suspect]*suspectState{}, runs: map[end]*Crash{}, provenAt: provenAt,
+		errorAnswers: errorAnswers,
+		states:       map[Suspect]*suspectState{}, runs: map[end]*Crash{}, provenAt: provenAt,
 		quarantined: map[Suspect]verdict{}, granted: map[Suspect]grant{}, hasEnded: hasEnded,
 	}
 }
 
 // RecordCrash records that a run of a target crashed under a request. It returns what is
 // suspected: the request and the parts of its prompt, without those that have recently
-// been in a completed response.
+// been in a completed response, and without a request that the run had answered before.
 func (t *Table) RecordCrash(now time.Time, crash Crash, request Request) (suspected []Suspect) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	crash.Occasion = t.occasion(crash.Target)
 	for _, suspect := range request.suspects() {
-		if t.proven(now, suspect) {
+		if t.isCleared(now, suspect, crash.Target) {
 			continue
 		}
 		if t.add(now, suspect, crash) {
@@ -206,7 +213,7 @@
 	changed := crash.Withdrawn && len(t.withdraw(crash.end())) > 0
 	known, ok := state.crashes[crash.end()]
 	if !ok {
-		if !crash.Cleared && (t.proven(now, suspect) || run.Withdrawn) {
+		if !crash.Cleared && (t.isCleared(now, suspect, crash.Target) || run.Withdrawn) {
 			crash.Cleared, crash.Withdrawn = true, run.Withdrawn
 			state.observedAt = now
 		}
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -83,7 +83,7 @@
 	}
 	isMissing := func(trial Trial) bool {
 		return !slices.ContainsFunc(stored.Trials, func(other Trial) bool {
-			return other.ID == trial.ID && (other.Unused || !trial.Unused)
+			return other.ID == trial.ID && (other.Unused || !trial.Unused) && (other.Answered || !trial.Answered)
 		})
 	}
 	return isSuspected && slices.ContainsFunc(r.Trials, isMissing)
@@ -115,6 +115,9 @@
 	observedAt time.Time
 	// trials holds the trials by ID.
 	trials map[string]Trial
+	// answeredBy holds the runs that have answered the request with an error, and gone on, since this
+	// process learned of the latest open crash.
+	answeredBy map[fleet.Boot]bool
 }
 
 // add adds a crash that isn't known.
@@ -123,6 +126,7 @@
 	s.ordered = nil
 	if !crash.Cleared {
 		s.openCount++
+		s.answeredBy = nil
 	}
 }
 
@@ -184,14 +188,17 @@
 	})
 }
 
-// mergeTrial adds a trial, or that a known one is unused, and reports whether that is new.
+// mergeTrial adds a trial, or that a known one is unused or was answered, and reports whether that
+// is new.
 func (s *suspectState) mergeTrial(trial Trial) bool {
 	known, ok := s.trials[trial.ID]
-	if ok && (known.Unused || !trial.Unused) {
-		return false
-	}
 	if ok {
+		isNew := trial.Unused && !known.Unused || trial.Answered && !known.Answered
+		trial.Unused, trial.Answered = trial.Unused || known.Unused, trial.Answered || known.Answered
 		trial.UnixMS = min(trial.UnixMS, known.UnixMS)
+		if !isNew {
+			return false
+		}
 	}
 	s.trials[trial.ID] = trial
 	return true
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -47,6 +47,8 @@
 	UnixMS int64 `json:"unix_ms"`
 	// Unused is set once the process can't use the permission any more, and has not used it.
 	Unused bool `json:"unused,omitempty"`
+	// Answered is set once its target has answered with an error, and has gone on.
+	Answered bool `json:"answered,omitempty"`
 }
 
 // grant is the permission of this process to make a trial.
@@ -118,12 +120,12 @@
 }
 
 // countedTrials returns the number of trials of a suspect without those that have shown nothing:
-// no request used them, or other targets crashed at the same moment as the trial's one.
+// no request used them, their target answered with an error, or other targets crashed at the same moment as the trial's one.
 func (s *suspectState) countedTrials() int {
 	count := 0
 	trials := s.sortedTrials()
 	for i := range trials {
-		if trials[i].Unused {
+		if trials[i].Unused || trials[i].Answered {
 			continue
 		}
 		end := int64(math.MaxInt64)
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -48,8 +48,12 @@
 }
 
 // verdict returns what holds of a quarantined suspect without companions, beside the other
-// suspects that may explain its crashes.
+// suspects that may explain its crashes. A request that a target has answered with an error in a
+// trial is not sure to crash others.
 func (t *Table) verdict(suspect Suspect, others []Suspect) verdict {
+	if suspect.Request != "" && t.states[suspect].answeredTrials() > 0 {
+		return verdict{}
+	}
 	alone := t.states[suspect].alone()
 	ended := slices.DeleteFunc(slices.Clone(alone), func(crash *Crash) bool { return t.hasEnded != nil && !t.hasEnded(crash.Target) })
 	sure := t.isSure(suspect, ended, others)
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -37,6 +37,9 @@
 	// CompletedUnframed is called when a response seems to be complete that ended with its
 	// connection, as a crash of the target ends it.
 	CompletedUnframed(target fleet.Target, request quarantine.Request)
+	// AnsweredWithError is called when a target has answered a request completely with an error of
+	// its own. trialOf is the suspect of which the request was a trial; zero if it was none.
+	AnsweredWithError(target fleet.Target, request quarantine.Request, trialOf quarantine.Suspect)
 	// Answered is called when a target has begun to answer a request that was sent at a time,
 	// or later.
 	Answered(target fleet.Boot, sentAt time.Duration)
@@ -62,6 +65,8 @@
 
 func (noQuarantine) CompletedUnframed(fleet.Target, quarantine.Request) {}
 
+func (noQuarantine) AnsweredWithError(fleet.Target, quarantine.Request, quarantine.Suspect) {}
+
 func (noQuarantine) Answered(fleet.Boot, time.Duration) {}
 
 func (noQuarantine) BrokenOff(string, fleet.Target, time.Duration, quarantine.Request) {}
@@ -124,6 +129,11 @@
 // targets.
 func (q *request) reportCrashEvidence(a *attempt, result outcome) {
 	switch {
+	case a.result == targetError:
+		// The caller may have left since.
+		if a.responseMeta.HasStamp && !a.responseMeta.OtherInstance {
+			q.relay.Quarantine.AnsweredWithError(a.choice.Target, q.crashRequest(), q.trialOf)
+		}
 	case result == completed && strictresponse.HasFraming(a.exchange.Response):
 		q.relay.Quarantine.Completed(q.crashRequest())
 	case result == completed:
