Who has to know where a stream began is kept over restarts, not told once

Cause: the process that begins a stream tells its witnesses once. A witness that starts again forgets, one that joins later was never told, and a process that stops doesn't hand on what it knows.

Ruled out: a lost first message (without the restart they go on), callers that are too early, and the missing hand-over alone (0 of 24 also if both peers restart and the first is killed).

Change: of each stream that callers may still hold, the first three of all processes know where it began. Every process that knows a stream tells those that a change of the list of members makes responsible (new, another run, another address); a process that starts asks the others for its share, for a second at most, and is ready only then; one that stops hands over when it is told to stop and again before it cuts what is left; the first witness is told once more after 2 s. Where a stream began is believed of processes that are not listed, too: one that stops leaves the list before it ends.

Why this works: whoever is asked is among the first four of all processes, of which the first three know. Two versions still never mix: the facts are passed on, not guessed. Nothing is told where one version serves.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -321,6 +321,7 @@
 		e.quarantine.run,
 		e.software.run,
 		e.streamOrigins.answerRecordQuestions,
+		e.streamOrigins.sync,
 		e.rollouts.run,
 		e.runHousekeeping,
 		e.canary.runJudge,
@@ -340,6 +341,7 @@
 		e.directory.Prune(e.uptime())
 		e.software.observeTargets()
 		e.members.markSilentPeers()
+		e.streamOrigins.repeat()
 		e.quarantine.expire()
 		e.canary.prune(targets)
 		e.memory.record(e.metrics.Scope)
--- a/pkg/entry/feeds.go
+++ b/pkg/entry/feeds.go
@@ -102,6 +102,7 @@
 	}
 	e.config.Store(config)
 	e.log.Log(eventlog.ConfigInForce, "version", config.Version, "was", previousVersion)
+	e.streamOrigins.table.SetHoldTime(e.software.holdTime())
 	e.ready.configured.Store(true)
 }
 
--- a/pkg/entry/members.go
+++ b/pkg/entry/members.go
@@ -161,7 +161,9 @@
 	m.topology = gossip.NewTopology(m.self(), others)
 	topology := m.topology
 	names := m.names()
+	runs := m.runs()
 	m.mu.Unlock()
+	m.entry.streamOrigins.setMembers(runs)
 	m.groups.prune(&topology)
 	m.entry.balancer.ShareDrain(len(topology.Ranked) > 1)
 	m.entry.balancer.Limits().SetMembers(m.entry.uptime(), names)
@@ -266,6 +268,23 @@
 	return names
 }
 
+// runs returns the runs of the other processes, with the addresses at which they receive messages,
+// by name. The caller must hold m.mu.
+func (m *memberList) runs() map[string]string {
+	runs := make(map[string]string, len(m.byVM))
+	for vm, p := range m.byVM {
+		runs[vm] = p.record.Boot + " " + p.record.Address
+	}
+	return runs
+}
+
+// all returns the other processes.
+func (m *memberList) all() []gossip.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others(m.names())
+}
+
 // processCount returns the number of entry processes, including this one.
 func (m *memberList) processCount() int {
 	m.mu.Lock()
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -128,16 +128,17 @@
 }
 
 // handlePeerMessage applies a peer's message. Messages from processes that are
-// not members are ignored.
+// not members are ignored, except where they say that streams began: that doesn't change, and a
+// process that is stopping is not listed any more.
 func (e *Entry) handlePeerMessage(m gossip.Message) {
 	member, sameGroup := e.members.isMember(m.Sender)
-	if !member {
-		return
-	}
 	if m.AboutStreams() {
 		e.streamOrigins.handle(&m)
 		return
 	}
+	if !member {
+		return
+	}
 	now := e.uptime()
 	e.applyNews(now, m.Sender, &m.News)
 	if sameGroup && !m.Partial {
@@ -159,6 +160,7 @@
 func (e *Entry) applyPeerState(now time.Duration, m *gossip.Message) {
 	if e.members.recordMessage(m.Sender, m.BootID) {
 		e.stateSchedule.peerHeard(now)
+		e.streamOrigins.tellMember(m.Sender)
 	}
 	e.unreachable.record(now, m.Unreachable)
 	e.balancer.SetPeerLoads(now, m.Sender, m.TargetLoads)
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -35,11 +35,14 @@
 	membersListed atomic.Bool
 	// softwareRecorded is set once each service with targets may begin streams at some of them.
 	softwareRecorded atomic.Bool
+	// streamsKnown is set once the other processes have told the streams of which this one is a
+	// witness, or have had the time to.
+	streamsKnown atomic.Bool
 }
 
 func (e *Entry) isReady() bool {
 	r := &e.ready
-	return r.configured.Load() && r.targetsListed.Load() && r.membersListed.Load() && r.softwareRecorded.Load() && !e.stopping.Load()
+	return r.configured.Load() && r.targetsListed.Load() && r.membersListed.Load() && r.softwareRecorded.Load() && r.streamsKnown.Load() && !e.stopping.Load()
 }
 
 // serve serves callers, readiness checks and metrics until stopCtx is cancelled,
@@ -90,12 +93,17 @@
 	e.drainEnd.Store(int64(e.uptime() + drainTime))
 	e.stopping.Store(true)
 	e.log.Log(eventlog.Stopping, "signal", "terminated")
+	e.streamOrigins.handOver()
 	e.lease.release()
 	e.balancer.Limits().Leave(e.uptime())
 	clock.Sleep(context.Background(), e.settings.LeaveNotice)
 	e.refusing.Store(true)
 	drainDeadline := startedAt.Add(drainTime)
-	expireTimer := time.AfterFunc(time.Until(drainDeadline), e.expireDrain)
+	expireTimer := time.AfterFunc(time.Until(drainDeadline), func() {
+		// The callers whose streams are cut now take them up at other processes.
+		e.streamOrigins.handOver()
+		e.expireDrain()
+	})
 	defer expireTimer.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), drainDeadline.Add(finalTimeout(e.settings.StopGrace)))
 	defer cancel()
--- a/pkg/entry/softwarerecord.go
+++ b/pkg/entry/softwarerecord.go
@@ -154,6 +154,16 @@
 	return newly
 }
 
+// needsWitnesses reports whether the witnesses of any service's streams have to be told of them.
+func (k *softwareKeeper) needsWitnesses() bool {
+	for service := range k.versions.Services() {
+		if k.versions.NeedsWitnesses(service) {
+			return true
+		}
+	}
+	return false
+}
+
 // read returns the record as the store holds it now, and the era of the store.
 func (k *softwareKeeper) read(ctx context.Context) (record streamorigin.Record, era uint64, err error) {
 	entry, err := k.fresh.Get(ctx)
@@ -192,11 +202,17 @@
 
 // retention returns the time for which callers may hold a stream of a version without targets.
 func (k *softwareKeeper) retention() time.Duration {
-	retention := streamRetentionMargin
-	if config := k.entry.config.Load(); config != nil {
-		retention += 2 * config.LongestResumableTimeout()
+	return streamRetentionMargin + k.holdTime()
+}
+
+// holdTime returns the longest time for which a caller holds a stream: that for which it reads it, and
+// that for which it takes it up.
+func (k *softwareKeeper) holdTime() time.Duration {
+	config := k.entry.config.Load()
+	if config == nil {
+		return 0
 	}
-	return retention
+	return 2 * config.LongestResumableTimeout()
 }
 
 // writeDelay returns the time after which this process writes, unless another one has done so.
--- a/pkg/entry/streamorigins.go
+++ b/pkg/entry/streamorigins.go
@@ -29,15 +29,20 @@
 	// recordQuestions holds questions of peers that can't read the record of software versions.
 	recordQuestions chan recordQuestion
 
+	// answered is signalled for each part of an answer to sync.
+	answered chan struct{}
+
 	mu sync.Mutex
 	// questions holds the questions that wait for answers of other processes.
 	questions map[streamorigin.Key][]*originQuestion
+	// synced holds what the other processes have answered to sync.
+	synced map[string]syncAnswer
 }
 
 func newStreamOrigins(entry *Entry) *streamOrigins {
 	return &streamOrigins{
 		entry: entry, table: streamorigin.New(), recordQuestions: make(chan recordQuestion, maxRecordQuestions),
-		questions: map[streamorigin.Key][]*originQuestion{},
+		questions: map[streamorigin.Key][]*originQuestion{}, answered: make(chan struct{}, 1), synced: map[string]syncAnswer{},
 	}
 }
 
@@ -57,7 +62,7 @@
 	now := o.entry.uptime()
 	o.table.Begin(now, key, software)
 	o.entry.software.versions.RecordUse(now, software)
-	if !o.entry.software.versions.NeedsWitnesses(software.Service) || !o.table.SetTold(key) {
+	if !o.entry.software.versions.NeedsWitnesses(software.Service) || !o.table.SetTold(now, key) {
 		return
 	}
 	origin := gossip.StreamOrigin{Key: key, Known: true, SoftwareVersion: software.Version}
@@ -65,7 +70,7 @@
 }
 
 // Ended implements relay.StreamOrigins.
-func (o *streamOrigins) Ended(stream relay.StreamRef) { o.table.SetTold(keyOf(stream)) }
+func (o *streamOrigins) Ended(stream relay.StreamRef) { o.table.SetEnded(keyOf(stream)) }
 
 // tellUntold tells the witnesses of the streams of a service that they did not have to know
 // before.
@@ -74,7 +79,7 @@
 	byWitness := map[netip.AddrPort][]gossip.StreamOrigin{}
 	for _, origin := range origins {
 		for _, address := range addressesOf(o.entry.members.witnesses(origin.Key)) {
-			byWitness[address] = append(byWitness[address], gossip.StreamOrigin{Key: origin.Key, Known: true, SoftwareVersion: origin.Version})
+			byWitness[address] = append(byWitness[address], gossip.StreamOrigin{Key: origin.Key, Known: true, SoftwareVersion: origin.Version, Age: origin.Age})
 		}
 	}
 	for address, told := range byWitness {
--- a/pkg/entry/streamquestions.go
+++ b/pkg/entry/streamquestions.go
@@ -137,12 +137,18 @@
 
 // handle applies what a peer tells of streams, and answers its questions.
 func (o *streamOrigins) handle(m *gossip.Message) {
+	if m.WantsStreams {
+		o.answerSync(m.Sender)
+	}
 	for _, origin := range m.StreamOrigins {
 		if origin.Known {
-			o.table.Record(o.entry.uptime(), origin.Key, origin.SoftwareVersion)
+			o.table.Record(o.entry.uptime(), streamorigin.Origin{Key: origin.Key, Version: origin.SoftwareVersion, Age: origin.Age})
 		}
 		o.recordAnswer(origin.Key, m.Sender, origin.Known)
 	}
+	if m.StreamParts > 0 {
+		o.recordSyncPart(m.Sender, m.StreamPart, m.StreamParts)
+	}
 	answers := o.answers(m)
 	if address, ok := o.entry.members.address(m.Sender); ok && len(answers) > 0 {
 		o.send(gossip.Message{StreamOrigins: answers}, address)
--- a/pkg/eventlog/entry.go
+++ b/pkg/eventlog/entry.go
@@ -92,6 +92,10 @@
 		[]string{"target", "born", "source", "age_ms"}}
 	TargetRefused = Event{968, "target_refused", "The address of a target refused a connection, so that its run may have ended. Streams that have begun go on there only over a connection on which the run itself answers. The source is self or a peer, and age_ms the time since the refusal.",
 		[]string{"target", "born", "source", "age_ms"}}
+	StreamsReplicated = Event{971, "streams_replicated", "This process has told others once more which software versions began streams, since they joined or started again (members), are heard again after a silence (heard_again), have asked (asked), or since a message may have been lost (repeat) or this process ends (stop). streams counts each stream once for each process.",
+		[]string{"reason", "streams", "processes"}}
+	StreamsSynced = Event{972, "streams_synced", "This process has started and has asked the others which software versions began the streams of which it is a witness. missing is the number of processes that have not answered.",
+		[]string{"streams", "missing", "waited_ms"}}
 	TrialAnswered = Event{970, "trial_answered", "A target has answered a trial with an error, and goes on: it did not crash. That shows nothing about a part of a prompt. A request needs several such answers.",
 		[]string{"fingerprint", "part", "target", "born"}}
 	TargetRunConfirmed = Event{969, "target_run_confirmed", "The run of a target that refused a connection before, or that seemed to have ended, is running. The source is self or a peer, to which the run answered, or registry, to which it has reported since.",
@@ -130,5 +134,5 @@
 	SoftwareRecorded, StreamsTold, TargetRunEnded, ConnNotReset,
 	RolloutOrdered, RolloutChanged, RolloutProgress, RolloutRecorded,
 	OverloadRefused, OverloadAdmitted, CallerConnsLimited, HedgeDecided, HedgeEnded,
-	TargetRefused, TargetRunConfirmed, TrialAnswered,
+	TargetRefused, TargetRunConfirmed, TrialAnswered, StreamsReplicated, StreamsSynced,
 }
--- a/pkg/gossip/message.go
+++ b/pkg/gossip/message.go
@@ -44,6 +44,11 @@
 	// and may arrive in any order.
 	StreamOrigins   []StreamOrigin
 	StreamQuestions []streamorigin.Key
+	// WantsStreams is set if the sender has started, and asks for the streams of which it is a witness.
+	// The answer has StreamParts messages with StreamOrigins, of which each has its StreamPart, from 1
+	// on.
+	WantsStreams            bool
+	StreamParts, StreamPart int
 	// RecordService, if set, asks the receiver to read the record of software versions for
 	// the questions that it can't answer otherwise. It is the service of their streams.
 	RecordService string
@@ -55,11 +60,13 @@
 	// Known is set if the process knows the software version of the target that began it.
 	Known           bool
 	SoftwareVersion string
+	// Age is the time since the stream began or was resumed.
+	Age time.Duration
 }
 
 // AboutStreams reports whether the message is about the begin of streams.
 func (m *Message) AboutStreams() bool {
-	return len(m.StreamOrigins) > 0 || len(m.StreamQuestions) > 0
+	return len(m.StreamOrigins) > 0 || len(m.StreamQuestions) > 0 || m.WantsStreams || m.StreamParts > 0
 }
 
 // News is the part of a message that concerns every process.
@@ -144,6 +151,7 @@
 		From: m.Sender, Boot: m.BootID, Sequence: m.Sequence, Config: m.ConfigVersion, Fence: m.FencingToken,
 		StoreEra: m.StoreEra, LeaderMs: uint32(m.LeaderRemaining.Milliseconds()), Partial: m.Partial, DrainReport: m.DrainReport,
 		RecordService: m.RecordService, UsageWithinMs: uint32(m.UsageWithin.Milliseconds()),
+		WantsStreams: m.WantsStreams, StreamParts: uint32(m.StreamParts), StreamPart: uint32(m.StreamPart),
 	}
 	state.Leaving = encodeBoots(m.Leaving)
 	for _, f := range m.RunFindings {
@@ -175,7 +183,7 @@
 		})
 	}
 	for _, o := range m.StreamOrigins {
-		state.StreamOrigins = append(state.StreamOrigins, &gossippb.StreamOrigin{Key: uint64(o.Key), Known: o.Known, SoftwareVersion: o.SoftwareVersion})
+		state.StreamOrigins = append(state.StreamOrigins, &gossippb.StreamOrigin{Key: uint64(o.Key), Known: o.Known, SoftwareVersion: o.SoftwareVersion, AgeMs: encodeMilliseconds(o.Age)})
 	}
 	for _, key := range m.StreamQuestions {
 		state.StreamQuestions = append(state.StreamQuestions, uint64(key))
@@ -303,6 +311,7 @@
 	m := Message{
 		Sender: state.GetFrom(), BootID: state.GetBoot(), Sequence: state.GetSequence(), Partial: state.GetPartial(), DrainReport: state.GetDrainReport(),
 		RecordService: state.GetRecordService(), UsageWithin: time.Duration(state.GetUsageWithinMs()) * time.Millisecond,
+		WantsStreams: state.GetWantsStreams(), StreamParts: int(state.GetStreamParts()), StreamPart: int(state.GetStreamPart()),
 		News: News{
 			ConfigVersion: state.GetConfig(), StoreEra: state.GetStoreEra(),
 			FencingToken: state.GetFence(), LeaderRemaining: time.Duration(state.GetLeaderMs()) * time.Millisecond,
@@ -319,7 +328,7 @@
 	m.Limits = decodeLimits(state.GetLimits())
 	m.Rollouts = decodeRollouts(state.GetRollouts())
 	for _, o := range state.GetStreamOrigins() {
-		m.StreamOrigins = append(m.StreamOrigins, StreamOrigin{Key: streamorigin.Key(o.GetKey()), Known: o.GetKnown(), SoftwareVersion: o.GetSoftwareVersion()})
+		m.StreamOrigins = append(m.StreamOrigins, StreamOrigin{Key: streamorigin.Key(o.GetKey()), Known: o.GetKnown(), SoftwareVersion: o.GetSoftwareVersion(), Age: time.Duration(o.GetAgeMs()) * time.Millisecond})
 	}
 	for _, key := range state.GetStreamQuestions() {
 		m.StreamQuestions = append(m.StreamQuestions, streamorigin.Key(key))
--- a/pkg/streamorigin/fleet_test.go
+++ b/pkg/streamorigin/fleet_test.go
@@ -31,7 +31,9 @@
 
 // testProcess is a process with its view of the store, the registry and the other processes.
 type testProcess struct {
-	name     string
+	name string
+	// boot tells the runs of a process apart.
+	boot     string
 	table    *Table
 	versions *Versions
 	members  []string
@@ -84,8 +86,14 @@
 
 // start starts a process, which reads the record and the registry before it is ready.
 func (f *testFleet) start(firstStart bool) {
+	f.startAs(fmt.Sprint("vm-", f.started+1), firstStart)
+}
+
+// startAs starts a process with a name.
+func (f *testFleet) startAs(name string, firstStart bool) {
 	f.started++
-	p := &testProcess{name: fmt.Sprint("vm-", f.started), table: New(), versions: NewVersions(f.now, firstStart)}
+	p := &testProcess{name: name, boot: fmt.Sprint("boot-", f.started), table: New(), versions: NewVersions(f.now, firstStart)}
+	p.table.SetHoldTime(testHold)
 	f.processes[p.name] = p
 	f.read(p)
 	f.write(p)
@@ -98,6 +106,7 @@
 	}
 	p.freshAt = f.now
 	p.members = f.names()
+	f.sendTells(p, p.table.SetMembers(f.now, p.name, f.runs(p.name)))
 	p.versions.SetListed(f.now, maps.Clone(f.store.listed))
 	p.versions.SetStored(f.now, f.store.record, f.store.revision, f.store.era)
 	f.tellUntold(p)
@@ -118,6 +127,28 @@
 	return f.streams[slices.IndexFunc(f.streams, func(s *testStream) bool { return s.key == key })]
 }
 
+// runs returns the runs of all processes but one.
+func (f *testFleet) runs(but string) map[string]string {
+	runs := map[string]string{}
+	for name, p := range f.processes {
+		if name != but {
+			runs[name] = p.boot
+		}
+	}
+	return runs
+}
+
+// sendTells sends messages about streams.
+func (f *testFleet) sendTells(p *testProcess, tells []Tell) {
+	for _, tell := range tells {
+		for _, origin := range tell.Origins {
+			if !p.alone {
+				f.inFlight = append(f.inFlight, testMessage{tell.Process, f.stream(origin.Key)})
+			}
+		}
+	}
+}
+
 func (f *testFleet) tell(p *testProcess, s *testStream) {
 	others := slices.DeleteFunc(slices.Clone(p.members), func(name string) bool { return name == p.name })
 	for _, witness := range Witnesses(s.key, others) {
@@ -161,7 +192,7 @@
 	p.table.Begin(f.now, s.key, testSoftware(s.version))
 	p.versions.RecordUse(f.now, testSoftware(s.version))
 	s.told[p.name] = true
-	if p.versions.NeedsWitnesses(testService) && p.table.SetTold(s.key) {
+	if p.versions.NeedsWitnesses(testService) && p.table.SetTold(f.now, s.key) {
 		f.tell(p, s)
 	}
 }
@@ -174,11 +205,18 @@
 	i := rapid.IntRange(0, len(f.inFlight)-1).Draw(t, "message")
 	m := f.inFlight[i]
 	f.inFlight = slices.Delete(f.inFlight, i, i+1)
+	if rapid.IntRange(0, 9).Draw(t, "lost") > 0 {
+		f.receive(m)
+	}
+}
+
+// receive lets a process receive a message, if it runs and is reached.
+func (f *testFleet) receive(m testMessage) {
 	p, runs := f.processes[m.to]
-	if !runs || p.alone || rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+	if !runs || p.alone {
 		return
 	}
-	p.table.Record(f.now, m.stream.key, m.stream.version)
+	p.table.Record(f.now, Origin{Key: m.stream.key, Version: m.stream.version, Age: f.now - m.stream.begunAt})
 	m.stream.told[p.name] = true
 }
 
@@ -261,6 +299,13 @@
 	}
 }
 
+// stop ends a process as planned, which hands over what it knows.
+func (f *testFleet) stop(name string) {
+	p := f.processes[name]
+	f.sendTells(p, p.table.HandOver(f.now))
+	f.kill(name)
+}
+
 // restore takes the store back to an older copy. Targets write their entries again.
 func (f *testFleet) restore(t *rapid.T) {
 	if len(f.copies) == 0 {
@@ -295,8 +340,15 @@
 					f.write(f.processes[name])
 				}
 			},
-			"start":      func(*rapid.T) { f.start(false) },
-			"kill":       func(t *rapid.T) { f.kill(f.draw(t).name) },
+			"start": func(*rapid.T) { f.start(false) },
+			"kill":  func(t *rapid.T) { f.kill(f.draw(t).name) },
+			"stop":  func(t *rapid.T) { f.stop(f.draw(t).name) },
+			"restart": func(t *rapid.T) {
+				name := f.draw(t).name
+				f.kill(name)
+				f.startAs(name, false)
+			},
+			"repeat":     func(t *rapid.T) { p := f.draw(t); f.sendTells(p, p.table.Repeat(f.now)) },
 			"kill all":   func(*rapid.T) { f.killAll() },
 			"cut":        func(t *rapid.T) { p := f.draw(t); p.cut = !p.cut },
 			"alone":      func(t *rapid.T) { p := f.draw(t); p.alone = !p.alone },
@@ -361,3 +413,70 @@
 }
 
 func sorted(list []string) []string { return slices.Sorted(slices.Values(list)) }
+
+// settle lets all processes read the lists of the store, and receive all messages.
+func (f *testFleet) settle() {
+	for _, name := range f.names() {
+		f.read(f.processes[name])
+		f.write(f.processes[name])
+	}
+	for len(f.inFlight) > 0 {
+		messages := f.inFlight
+		f.inFlight = nil
+		for _, m := range messages {
+			f.receive(m)
+		}
+	}
+}
+
+// checkAllFound checks that each process goes on with each stream that callers may hold.
+func (f *testFleet) checkAllFound(t *rapid.T) {
+	for _, s := range f.streams {
+		if f.now-s.begunAt > testHold {
+			continue
+		}
+		for _, name := range f.names() {
+			if version, known := f.find(f.processes[name], s); !known || version != s.version {
+				t.Fatalf("%s finds %q, %t of a stream that %s began %v ago; %v know it", name, version, known, s.version, f.now-s.begunAt, s.told)
+			}
+		}
+	}
+}
+
+// TestOriginsOverCalmRestarts checks that all processes know where streams began, or can ask for it, after
+// any series of starts, stops, kills and restarts of single processes, each of which all others notice
+// before the next one, and after which no message is lost.
+func TestOriginsOverCalmRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &testFleet{processes: map[string]*testProcess{}, store: testStore{era: 1, listed: map[Software]bool{testSoftware("v1"): true, testSoftware("v2"): true}}}
+		for range rapid.SampledFrom([]int{1, 2, 3, 5, 24, 103}).Draw(t, "processes") {
+			f.start(true)
+		}
+		f.settle()
+		f.settle()
+		ending := func(end func(name string)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if len(f.processes) < 2 {
+					t.Skip("the only process")
+				}
+				end(f.draw(t).name)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": f.begin,
+			"start": func(*rapid.T) { f.start(false) },
+			"stop":  ending(f.stop),
+			"kill":  ending(f.kill),
+			"restart": ending(func(name string) {
+				f.kill(name)
+				f.startAs(name, false)
+			}),
+			"wait":      func(*rapid.T) { f.now += time.Second },
+			"wait long": func(*rapid.T) { f.now += testHold / 2 },
+			"": func(t *rapid.T) {
+				f.settle()
+				f.checkAllFound(t)
+			},
+		})
+	})
+}
--- a/pkg/streamorigin/streamorigin.go
+++ b/pkg/streamorigin/streamorigin.go
@@ -12,7 +12,6 @@
 package streamorigin
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -57,19 +56,20 @@
 	return lowestRanked(key, members, candidateCount)
 }
 
+// lowestRanked returns the members with the lowest ranks, the lowest one first.
 func lowestRanked(key Key, members []string, count int) []string {
-	type ranked struct {
-		member string
-		rank   uint64
-	}
-	ranks := make([]ranked, 0, len(members))
+	lowest := make([]string, 0, count+1)
+	ranks := make([]uint64, 0, count+1)
 	for _, member := range members {
-		ranks = append(ranks, ranked{member, memberRank(key, member)})
-	}
-	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
-	lowest := make([]string, 0, count)
-	for _, r := range ranks[:min(count, len(ranks))] {
-		lowest = append(lowest, r.member)
+		rank := memberRank(key, member)
+		i, _ := slices.BinarySearch(ranks, rank)
+		if i == count {
+			continue
+		}
+		lowest, ranks = slices.Insert(lowest, i, member), slices.Insert(ranks, i, rank)
+		if len(lowest) > count {
+			lowest, ranks = lowest[:count], ranks[:count]
+		}
 	}
 	return lowest
 }
@@ -87,6 +87,13 @@
 type Table struct {
 	mu      sync.Mutex
 	streams *lru.Cache[Key, *origin]
+	// holdTime is the longest time for which callers hold a stream.
+	holdTime time.Duration
+	// self is the name of this process, and members holds the runs of the others by name.
+	self    string
+	members map[string]string
+	// toldOnce holds the streams of which the witnesses have been told once, the oldest first.
+	toldOnce []toldStream
 }
 
 // origin is where a stream began.
@@ -96,57 +103,93 @@
 	// untold is set for a stream that this process began or resumed, until it tells the
 	// witnesses or the stream has ended.
 	untold bool
+	// hasEnded is set once the caller has received the whole stream.
+	hasEnded bool
 }
 
 // Origin names the software version that began a stream.
 type Origin struct {
 	Key     Key
 	Version string
+	// Age is the time since the stream began, or was resumed.
+	Age time.Duration
 }
 
+// defaultHoldTime is the longest time for which callers hold a stream until it is set.
+const defaultHoldTime = time.Minute
+
 // New returns an empty Table.
 func New() *Table {
 	streams, err := lru.New[Key, *origin](maxStreams)
 	if err != nil {
 		panic(err)
 	}
-	return &Table{streams: streams}
+	return &Table{streams: streams, holdTime: defaultHoldTime}
+}
+
+// Len returns the number of streams that are remembered.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.streams.Len()
+}
+
+// SetHoldTime sets the longest time for which callers hold a stream.
+func (t *Table) SetHoldTime(holdTime time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holdTime = holdTime
 }
 
 // Record records the software version that began a stream, as a peer tells it. The first
 // record of a stream stays, since its caller has events of that version.
-func (t *Table) Record(now time.Duration, key Key, version string) {
-	t.add(key, &origin{software: Software{Version: version}, at: now})
+func (t *Table) Record(now time.Duration, told Origin) {
+	t.add(now, told.Key, &origin{software: Software{Version: told.Version}, at: now - told.Age})
 }
 
 // Begin records the software version that begins a stream at this process, or that began one
 // which its caller resumes here. The witnesses don't know it yet.
 func (t *Table) Begin(now time.Duration, key Key, software Software) {
-	t.add(key, &origin{software: software, at: now, untold: true})
+	t.add(now, key, &origin{software: software, at: now, untold: true})
 }
 
-func (t *Table) add(key Key, o *origin) {
+func (t *Table) add(now time.Duration, key Key, o *origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known, ok := t.streams.Peek(key); ok && o.at-known.at <= streamTTL {
+	if known, ok := t.streams.Peek(key); ok && now-known.at <= streamTTL {
 		return
 	}
 	t.streams.Add(key, o)
 }
 
-// SetTold records that the witnesses of a stream need not be told any more: they are told now,
-// or the caller has received the whole stream. It reports whether they had not been told.
-func (t *Table) SetTold(key Key) bool {
+// SetEnded records that the caller has received the whole stream, so that nobody has to know it.
+func (t *Table) SetEnded(key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.streams.Peek(key); ok {
+		known.hasEnded, known.untold = true, false
+	}
+}
+
+// SetTold records that the witnesses of a stream are told now. It reports whether they had not been
+// told.
+func (t *Table) SetTold(now time.Duration, key Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.streams.Peek(key)
 	if !ok || !known.untold {
 		return false
 	}
-	known.untold = false
+	t.setTold(now, key, known)
 	return true
 }
 
+// setTold records that the witnesses of a stream are told now. The caller must hold t.mu.
+func (t *Table) setTold(now time.Duration, key Key, known *origin) {
+	known.untold = false
+	t.toldOnce = append(t.toldOnce, toldStream{key: key, at: now})
+}
+
 // TakeUntold returns the streams of a service of which the witnesses have to be told now that
 // it has several versions.
 func (t *Table) TakeUntold(now time.Duration, service string) []Origin {
@@ -158,8 +201,8 @@
 		if !known.untold || known.software.Service != service || now-known.at > streamTTL {
 			continue
 		}
-		untold = append(untold, Origin{Key: key, Version: known.software.Version})
-		known.untold = false
+		untold = append(untold, known.origin(now, key))
+		t.setTold(now, key, known)
 	}
 	return untold
 }
--- a/pkg/streamorigin/streamorigin_test.go
+++ b/pkg/streamorigin/streamorigin_test.go
@@ -12,7 +12,7 @@
 	Convey("Given a table that knows a stream", t, func() {
 		table := New()
 		key := NewKey("account", "service", "request")
-		table.Record(time.Second, key, "v1")
+		table.Record(time.Second, Origin{Key: key, Version: "v1"})
 		Convey("it knows its version for some time", func() {
 			version, known := table.Version(time.Second+streamTTL, key)
 			So(known, ShouldBeTrue)
@@ -21,7 +21,7 @@
 			So(known, ShouldBeFalse)
 		})
 		Convey("a later record of the same stream changes nothing", func() {
-			table.Record(2*time.Second, key, "v2")
+			table.Record(2*time.Second, Origin{Key: key, Version: "v2"})
 			version, _ := table.Version(2*time.Second, key)
 			So(version, ShouldEqual, "v1")
 		})
@@ -33,7 +33,7 @@
 		})
 		Convey("it forgets the oldest of many streams", func() {
 			for n := range maxStreams {
-				table.Record(2*time.Second, NewKey("a", "s", fmt.Sprint(n)), "v1")
+				table.Record(2*time.Second, Origin{Key: NewKey("a", "s", fmt.Sprint(n)), Version: "v1"})
 			}
 			_, known := table.Version(2*time.Second, key)
 			So(known, ShouldBeFalse)
--- a/pkg/streamorigin/versions_test.go
+++ b/pkg/streamorigin/versions_test.go
@@ -153,13 +153,13 @@
 		begun, ended, heard, other := NewKey("a", testService, "1"), NewKey("a", testService, "2"), NewKey("a", testService, "3"), NewKey("a", "other", "4")
 		table.Begin(0, begun, testSoftware("v1"))
 		table.Begin(0, ended, testSoftware("v1"))
-		So(table.SetTold(ended), ShouldBeTrue)
-		table.Record(0, heard, "v1")
+		table.SetEnded(ended)
+		table.Record(0, Origin{Key: heard, Version: "v1"})
 		table.Begin(0, other, Software{Service: "other", Version: "v1"})
 		Convey("the witnesses have to be told once of the first one", func() {
-			So(table.TakeUntold(time.Second, testService), ShouldResemble, []Origin{{Key: begun, Version: "v1"}})
+			So(table.TakeUntold(time.Second, testService), ShouldResemble, []Origin{{Key: begun, Version: "v1", Age: time.Second}})
 			So(table.TakeUntold(time.Second, testService), ShouldBeEmpty)
-			So(table.SetTold(begun), ShouldBeFalse)
+			So(table.SetTold(0, begun), ShouldBeFalse)
 		})
 	})
 }
